--- /dev/null
+++ b/libs/failover/include/godwitbarrow/failover/events.hpp
@@ -0,0 +1,199 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "godwitbarrow/core/clock.hpp"
+#include "godwitbarrow/core/error.hpp"
+#include "godwitbarrow/core/names.hpp"
+#include "godwitbarrow/core/position.hpp"
+
+/// Inputs and outputs of the decisions about the primary of one group.
+namespace godwitbarrow::failover
+{
+
+/// The group row in the platform's table service.
+struct group_row
+{
+    core::term_number term = 0;
+    /// Empty from the claim of a term until its promotion is published.
+    std::optional<core::server_id> primary;
+    core::attempt_id attempt;
+};
+
+/// A row with the version that a conditional write has to name; version 0
+/// means that the row does not exist.
+struct versioned_row
+{
+    group_row row;
+    std::uint64_t version = 0;
+};
+
+// Events.
+
+struct status_received
+{
+    core::server_id server;
+    core::member_status status;
+    core::time_point requested_at;
+};
+
+struct status_missed
+{
+    core::server_id server;
+};
+
+/// The data path of this or another host failed on a new connection.
+struct suspicion_reported
+{
+    core::server_id server;
+    core::host_id reporter;
+};
+
+/// Whether another host reached a server on a new connection.
+struct observation_received
+{
+    std::uint64_t round = 0;
+    core::host_id observer;
+    core::server_id server;
+    bool reachable = false;
+    std::optional<core::member_status> status;
+};
+
+struct row_read
+{
+    core::result<versioned_row> row;
+};
+
+/// Version that the row has after the write; `conflict` if another writer was
+/// first; any other error leaves open whether the write took effect.
+struct row_written
+{
+    core::result<std::uint64_t> version;
+};
+
+/// Answer of a member to `fence_member`.
+struct fence_answered
+{
+    core::server_id server;
+    core::result<core::member_status> status;
+};
+
+/// Answer of a member to `promote_member`; `position` is its base position.
+struct promote_answered
+{
+    core::server_id server;
+    core::result<core::member_status> status;
+};
+
+struct view_learned
+{
+    core::term_number term = 0;
+    std::optional<core::server_id> primary;
+};
+
+struct server_leaving
+{
+    core::server_id server;
+    bool leaving = true;
+};
+
+/// The hosts that may observe, and whether this host coordinates the group.
+struct role_changed
+{
+    bool coordinator = false;
+    std::vector<core::host_id> observers;
+};
+
+struct tick
+{
+};
+
+using event = std::variant<status_received, status_missed, suspicion_reported,
+                           observation_received, row_read, row_written,
+                           fence_answered, promote_answered, view_learned,
+                           server_leaving, role_changed, tick>;
+
+// Actions.
+
+struct read_row
+{
+};
+
+struct write_row
+{
+    group_row row;
+    std::uint64_t expected_version = 0;
+};
+
+/// Ask hosts to try the server on a new connection; `this host` tries as well.
+struct ask_observers
+{
+    std::uint64_t round = 0;
+    core::server_id server;
+    std::vector<core::host_id> observers;
+};
+
+struct fence_member
+{
+    core::server_id server;
+    core::term_number term = 0;
+    core::attempt_id attempt;
+};
+
+struct promote_member
+{
+    core::server_id server;
+    core::term_number term = 0;
+    core::attempt_id attempt;
+};
+
+struct follow_primary
+{
+    core::server_id server;
+    core::term_number term = 0;
+    core::server_id primary;
+};
+
+/// Tell this host and its peers of the primary of a term.
+struct publish_view
+{
+    core::term_number term = 0;
+    std::optional<core::server_id> primary;
+};
+
+/// Tell the coordinator of a suspicion, as this host is not the coordinator.
+struct report_to_coordinator
+{
+    core::server_id server;
+};
+
+/// For the log and the metrics.
+struct note_progress
+{
+    enum class step
+    {
+        suspected,
+        cleared,
+        confirmed,
+        claimed,
+        waiting_for_store,
+        fenced,
+        chosen,
+        promoted,
+        published,
+        abandoned
+    };
+    step reached = step::suspected;
+    core::term_number term = 0;
+    std::string detail;
+};
+
+using action = std::variant<read_row, write_row, ask_observers, fence_member,
+                            promote_member, follow_primary, publish_view,
+                            report_to_coordinator, note_progress>;
+
+}  // namespace godwitbarrow::failover
