--- a/libs/backend/include/godwitbarrow/backend/messages.hpp
+++ b/libs/backend/include/godwitbarrow/backend/messages.hpp
@@ -28,7 +28,7 @@
 /// log up to `status.position` does not contain the key.
 struct lookup_answer
 {
-    /// Stored result; `at` is its position in the member's present term.
+    /// Stored result; `at` is its position in the log of `status.log_term`.
     std::optional<core::backend_reply> stored;
     core::member_status status;
 };
--- a/libs/backend/src/connection.cpp
+++ b/libs/backend/src/connection.cpp
@@ -26,8 +26,9 @@
 /// connection if the answer cannot be understood or says that the connection
 /// is refused.
 template <class T, class Decode>
-void ask(const connection_ptr& it, http::call call, core::time_point reply_by,
-         Decode decode, std::function<void(core::result<T>)> handler)
+void ask(const connection_ptr& it, const http::call& call,
+         core::time_point reply_by, Decode decode,
+         std::function<void(core::result<T>)> handler)
 {
     const auto answered = [it, decode, handler = std::move(handler)](
                               const http::exchange_result& r)
@@ -42,7 +43,7 @@
             close(it);
         handler(std::move(result));
     };
-    http::exchange(it->link, std::move(call), reply_by, answered);
+    http::exchange(it->link, call, reply_by, answered);
 }
 
 core::result<std::monostate> decode_probe(unsigned code, std::string_view body)
--- /dev/null
+++ b/test/standins/include/godwitbarrow/standins/platform_state.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "godwitbarrow/core/clock.hpp"
+#include "godwitbarrow/platform/records.hpp"
+
+/// Rows, objects and host list of the platform stand-in, without I/O.
+namespace godwitbarrow::standins
+{
+
+struct conditional_put
+{
+    std::string table;
+    std::string key;
+    std::string value;
+    /// 0: the row must be absent.
+    std::uint64_t expected_version = 0;
+};
+
+struct host_list_change
+{
+    core::time_point made_at;
+    std::vector<platform::host_entry> hosts;
+};
+
+struct platform_state
+{
+    /// By "table/key".
+    std::map<std::string, platform::versioned_value> rows;
+    std::map<std::string, std::string> objects;
+    /// Oldest first; the first is the list that is shown at least.
+    std::deque<host_list_change> host_lists;
+};
+
+std::optional<platform::versioned_value> find_row(const platform_state& it,
+                                                  const std::string& table,
+                                                  const std::string& key);
+
+/// Writes all rows or, if one version differs, none. Returns the new versions.
+std::optional<std::vector<std::uint64_t>> write_rows(
+    platform_state& it, const std::vector<conditional_put>& puts);
+
+/// Replaces the host list. The first list is shown at once, later ones after
+/// the lag.
+void set_hosts(platform_state& it, std::vector<platform::host_entry> hosts,
+               core::time_point now);
+
+std::vector<platform::host_entry> shown_hosts(platform_state& it,
+                                              std::chrono::milliseconds lag,
+                                              core::time_point now);
+
+}  // namespace godwitbarrow::standins
