--- a/test/standins/include/godwitbarrow/standins/member_state.hpp
+++ b/test/standins/include/godwitbarrow/standins/member_state.hpp
@@ -14,6 +14,8 @@
 ///
 /// A primary appends entries in its term; replicas pull them. Entries with the
 /// same term and position are the same entry, because a term has one primary.
+/// The log of a member is at any time a prefix of the log of the primary of
+/// its `log_term`.
 /// A member keeps its state for as long as it may take part in a majority; it
 /// must not come back empty under the same name.
 namespace godwitbarrow::standins
@@ -22,7 +24,8 @@
 /// A replica reports no contact after this time without an answer of its
 /// primary.
 constexpr std::chrono::milliseconds contact_timeout{1500};
-/// Entries in one answer to a pull.
+/// Entries in one answer to a pull, except when the replica joins the term:
+/// then the answer holds the whole base log or nothing.
 constexpr std::size_t largest_pull = 500;
 
 /// One change of the log, with the result and key stored in the same entry.
@@ -133,7 +136,7 @@
 /// Whether the reply changes anything at the replica that sent the request.
 bool has_news(const pull_request& request, const pull_reply& reply);
 
-/// When the entry after those of the reply may be sent, if there is one.
+/// When the reply may have more entries, if there are any.
 std::optional<core::time_point> next_due(const member_state& it,
                                          const pull_request& request,
                                          const pull_reply& reply);
--- a/test/standins/src/database.cpp
+++ b/test/standins/src/database.cpp
@@ -258,7 +258,7 @@
 database_ptr start_database(const boost::asio::any_io_executor& executor,
                             const database_options& options)
 {
-    const auto it = std::make_shared<database>(executor, options);
+    auto it = std::make_shared<database>(executor, options);
     it->member =
         initial_state(options.name, options.term, options.role, detail::now());
     const std::weak_ptr<database> weak = it;
--- a/test/standins/src/member_state.cpp
+++ b/test/standins/src/member_state.cpp
@@ -70,8 +70,17 @@
     it.attempt.clear();
 }
 
+/// Whether the log with the entries of the reply holds the primary's base log.
+bool reaches_base(const pull_reply& reply)
+{
+    return reply.common + reply.entries.size() >= reply.base;
+}
+
 /// A joined replica only appends, because its log counts for
-/// acknowledgements; until then its tail may diverge from the primary's.
+/// acknowledgements. Before that its tail may diverge from the primary's; it
+/// is replaced by the base log in one step. If it were replaced in parts, the
+/// member would report a position of mixed terms as one of `log_term`, and a
+/// write of that term that it does not hold would count as held.
 bool fits(const member_state& it, const pull_request& request,
           const pull_reply& reply)
 {
@@ -80,7 +89,8 @@
         return false;
     if (request.spans != it.spans || reply.common > it.log.size())
         return false;
-    return it.log_term != it.term || reply.common == it.log.size();
+    return it.log_term == it.term ? reply.common == it.log.size()
+                                  : reaches_base(reply);
 }
 
 }  // namespace
@@ -186,37 +196,41 @@
         request.term == it.term && it.role == core::member_role::primary;
     if (!r.accepted)
         return r;
+    const bool joined = request.log_term == it.term;
     r.base = it.base;
     r.common = detail::common_prefix(it.log, request.spans);
     for (auto p = r.common; p < it.log.size(); ++p)
     {
         const auto& e = it.log[p];
+        const bool in_base = !joined && p < it.base;
         if (e.held_since + request.lag > now ||
-            r.entries.size() >= largest_pull)
+            (r.entries.size() >= largest_pull && !in_base))
             break;
         r.entries.push_back(e);
     }
+    if (!joined && !detail::reaches_base(r))
+        r.entries.clear();
     return r;
 }
 
 bool has_news(const pull_request& request, const pull_reply& reply)
 {
-    if (!reply.accepted || !reply.entries.empty())
+    if (!reply.accepted)
         return true;
-    if (request.log_term == reply.term)
-        return false;
-    return reply.common < detail::last_position(request.spans) ||
-           reply.common >= reply.base;
+    return request.log_term == reply.term ? !reply.entries.empty()
+                                          : detail::reaches_base(reply);
 }
 
 std::optional<core::time_point> next_due(const member_state& it,
                                          const pull_request& request,
                                          const pull_reply& reply)
 {
-    const auto p = reply.common + reply.entries.size();
-    if (p >= it.log.size())
+    const auto sent = reply.common + reply.entries.size();
+    const auto next =
+        request.log_term == reply.term ? sent + 1 : std::max(sent + 1, it.base);
+    if (next > it.log.size())
         return {};
-    return it.log[p].held_since + request.lag;
+    return it.log[next - 1].held_since + request.lag;
 }
 
 bool take_pull(member_state& it, const pull_request& request,
@@ -230,8 +244,7 @@
         e.held_since = now;
         detail::apply_entry(it, std::move(e));
     }
-    if (it.log.size() >= reply.base)
-        it.log_term = it.term;
+    it.log_term = it.term;
     it.heard_at = now;
     return true;
 }
--- a/test/standins/src/platform.cpp
+++ b/test/standins/src/platform.cpp
@@ -242,7 +242,7 @@
 platform_ptr start_platform(const boost::asio::any_io_executor& executor,
                             const platform_options& options)
 {
-    const auto it = std::make_shared<platform_service>();
+    auto it = std::make_shared<platform_service>();
     it->options = options;
     const std::weak_ptr<platform_service> weak = it;
     http_hooks hooks;
