--- /dev/null
+++ b/libs/peer/include/godwitbarrow/peer/messages.hpp
@@ -0,0 +1,191 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "godwitbarrow/core/clock.hpp"
+#include "godwitbarrow/core/error.hpp"
+#include "godwitbarrow/core/names.hpp"
+#include "godwitbarrow/core/position.hpp"
+#include "godwitbarrow/core/request.hpp"
+
+/// Messages between the proxy's own processes and their FlatBuffers encoding.
+namespace godwitbarrow::peer
+{
+
+/// First message on a link, in both directions.
+struct hello
+{
+    core::host_id host;
+    /// Differs after each start of the process.
+    std::uint64_t incarnation = 0;
+};
+
+/// Hands a request to the owner of `server`.
+struct execute
+{
+    core::request request;
+    core::server_id server;
+    /// Time to the deadline when the message was encoded. Set by `decode`;
+    /// `encode` computes it from `request.deadline`.
+    std::chrono::microseconds remaining{0};
+};
+
+/// The request was not run; another member may be able to serve it.
+struct redirected
+{
+    core::error reason;
+    std::optional<core::server_id> primary;
+    core::term_number term = 0;
+};
+
+/// The one reply to `execute`.
+struct answer
+{
+    core::request_id id;
+    std::variant<core::outcome, redirected> result;
+};
+
+/// What the sender knows, so that the receiver can ask for what it lacks.
+struct summary
+{
+    std::uint64_t settings_generation = 0;
+    std::uint64_t hosts_version = 0;
+    std::uint64_t views_version = 0;
+    /// Backend servers that the sender cannot reach and does not own.
+    std::vector<core::server_id> unreachable;
+};
+
+struct settings_request
+{
+    /// 0 if the sender has no settings yet.
+    std::uint64_t have_generation = 0;
+};
+
+struct settings_file
+{
+    std::string name;
+    std::string content;
+};
+
+/// Changes between two generations, in one or more chunks. `from` is 0 for a
+/// whole file set.
+struct settings_delta
+{
+    std::uint64_t from = 0;
+    std::uint64_t to = 0;
+    std::uint32_t chunk_index = 0;
+    std::uint32_t chunk_count = 1;
+    std::vector<settings_file> changed;
+    std::vector<std::string> removed;
+    /// Digest of the whole file set of generation `to`.
+    std::string digest;
+};
+
+enum class entry_kind
+{
+    host,
+    backend_server
+};
+
+enum class entry_state
+{
+    live,
+    leaving
+};
+
+struct host_entry
+{
+    std::string name;
+    entry_kind kind = entry_kind::host;
+    entry_state state = entry_state::live;
+};
+
+/// The host list of the platform.
+struct hosts
+{
+    std::uint64_t version = 0;
+    std::vector<host_entry> entries;
+};
+
+struct group_view
+{
+    core::group_id group;
+    core::term_number term = 0;
+    std::optional<core::server_id> primary;
+};
+
+struct group_views
+{
+    std::vector<group_view> views;
+};
+
+/// Asks the receiver to try `server` on a new connection.
+struct observe
+{
+    std::uint64_t round = 0;
+    core::group_id group;
+    core::server_id server;
+};
+
+/// The reply to `observe`.
+struct observation
+{
+    std::uint64_t round = 0;
+    core::host_id observer;
+    core::group_id group;
+    core::server_id server;
+    bool reachable = false;
+    std::optional<core::member_status> status;
+};
+
+/// Tells the coordinator of `group` that the data path to `server` failed.
+struct suspicion
+{
+    core::group_id group;
+    core::server_id server;
+    core::host_id reporter;
+};
+
+/// The host shuts down; owner choice leaves it out.
+struct leaving
+{
+    core::host_id host;
+};
+
+/// Asks for a `probe_answer`. With a target, the receiver probes that host
+/// first and answers whether it replied.
+struct probe
+{
+    std::uint64_t nonce = 0;
+    std::optional<core::host_id> target;
+};
+
+struct probe_answer
+{
+    /// Echo of the probe.
+    std::uint64_t nonce = 0;
+    std::optional<core::host_id> target;
+    bool reachable = true;
+};
+
+using message =
+    std::variant<hello, execute, answer, summary, settings_request,
+                 settings_delta, hosts, group_views, observe, observation,
+                 suspicion, leaving, probe, probe_answer>;
+
+/// `now` turns the deadline of a request into remaining time.
+std::vector<std::uint8_t> encode(
+    const message& it, core::time_point now = core::runtime_clock::now());
+
+/// `now` turns the remaining time of a request into a deadline.
+/// Errors: protocol_error if the bytes are not a whole, valid message.
+core::result<message> decode(const std::uint8_t* bytes, std::size_t size,
+                             core::time_point now = core::runtime_clock::now());
+
+}  // namespace godwitbarrow::peer
--- /dev/null
+++ b/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "godwitbarrow/core/names.hpp"
+#include "godwitbarrow/core/position.hpp"
+#include "godwitbarrow/core/request.hpp"
+
+/// Metrics of one process. All functions are callable from any thread.
+namespace godwitbarrow::telemetry
+{
+
+/// How a request counts towards its objective.
+enum class request_result
+{
+    completed,
+    not_run,
+    unknown,
+    /// Not run because of a fault in the request itself; not counted against
+    /// the objective.
+    invalid
+};
+constexpr std::size_t request_result_count = 4;
+
+std::string_view to_string(request_result it);
+request_result classify(const core::outcome& it);
+
+/// Counters, gauges and histograms with their registry.
+struct metrics;
+using metrics_ptr = std::shared_ptr<metrics>;
+
+metrics_ptr make_metrics();
+
+/// Counts the request; the latency of a completed one goes to the histogram of
+/// its rank.
+void count_request(metrics& to, core::rank importance, request_result result,
+                   std::chrono::nanoseconds latency);
+
+void set_queue_length(metrics& to, const core::server_id& server,
+                      core::rank importance, std::size_t waiting);
+/// Removes the queue lengths of a server that this host owns no longer.
+void forget_server(metrics& to, const core::server_id& server);
+
+/// Counts a read by the role of the member that served it.
+void count_read(metrics& to, core::member_role served_by);
+
+/// Counts a step of a failover, for example "claimed".
+void count_failover_step(metrics& to, std::string_view step);
+
+void set_settings_generation(metrics& to, std::uint64_t generation);
+
+/// Counts a failed call to the platform, for example "put_row".
+void count_store_error(metrics& to, std::string_view operation);
+
+void count_retry(metrics& to, core::rank importance);
+
+void set_draining(metrics& to, bool draining);
+
+/// Requests accepted from callers whose answer is not written yet, and open
+/// connections of callers.
+void set_gateway_load(metrics& to, std::size_t in_flight,
+                      std::size_t connections);
+
+/// Prometheus text format 0.0.4, for /metrics.
+std::string expose(const metrics& of);
+
+}  // namespace godwitbarrow::telemetry
