--- a/libs/gateway/include/godwitbarrow/gateway/admin.hpp
+++ b/libs/gateway/include/godwitbarrow/gateway/admin.hpp
@@ -16,7 +16,7 @@
 namespace godwitbarrow::gateway
 {
 
-constexpr std::size_t max_admin_answer_bytes = 1024 * 1024;
+constexpr std::size_t max_admin_answer_bytes = std::size_t{1024} * 1024;
 
 struct admin_response
 {
@@ -35,9 +35,9 @@
 
 /// Serves until `stop`. Errors: invalid_settings if the endpoint cannot be
 /// bound.
-core::result<admin_ptr> start_admin(boost::asio::any_io_executor executor,
-                                    const core::endpoint& at,
-                                    admin_handler handler);
+core::result<admin_ptr> start_admin(
+    const boost::asio::any_io_executor& executor, const core::endpoint& at,
+    admin_handler handler);
 
 /// The bound endpoint, with the real port if port 0 was asked for.
 core::endpoint local_endpoint(const admin_ptr& it);
--- a/libs/gateway/include/godwitbarrow/gateway/codec.hpp
+++ b/libs/gateway/include/godwitbarrow/gateway/codec.hpp
@@ -19,7 +19,7 @@
     /// Used if the caller states no deadline.
     std::chrono::milliseconds default_deadline{10000};
     std::chrono::milliseconds longest_deadline{60000};
-    std::chrono::milliseconds longest_age{24 * 3600 * 1000};
+    std::chrono::milliseconds longest_age{std::chrono::hours(24)};
     /// Length of a group, kind, key, transaction or request id.
     std::size_t name_bytes = 256;
 };
--- a/libs/gateway/include/godwitbarrow/gateway/server.hpp
+++ b/libs/gateway/include/godwitbarrow/gateway/server.hpp
@@ -18,8 +18,8 @@
 
 struct gateway_limits
 {
-    std::size_t body_bytes = 64 * 1024;
-    std::size_t header_bytes = 8 * 1024;
+    std::size_t body_bytes = std::size_t{64} * 1024;
+    std::size_t header_bytes = std::size_t{8} * 1024;
     std::size_t open_connections = 10000;
     /// From the first byte of a request to its last, and from the start of a
     /// connection to the end of its first request.
@@ -52,10 +52,9 @@
 
 /// Serves until `stop`. Errors: invalid_settings if the endpoint cannot be
 /// bound.
-core::result<gateway_ptr> start_gateway(boost::asio::any_io_executor executor,
-                                        const core::endpoint& at,
-                                        const gateway_limits& limits,
-                                        gateway_handlers handlers);
+core::result<gateway_ptr> start_gateway(
+    const boost::asio::any_io_executor& executor, const core::endpoint& at,
+    const gateway_limits& limits, gateway_handlers handlers);
 
 /// The bound endpoint, with the real port if port 0 was asked for.
 core::endpoint local_endpoint(const gateway_ptr& it);
--- a/libs/peer/include/godwitbarrow/peer/link.hpp
+++ b/libs/peer/include/godwitbarrow/peer/link.hpp
@@ -15,12 +15,12 @@
 namespace godwitbarrow::peer
 {
 
-constexpr std::size_t max_frame_bytes = 1024 * 1024;
+constexpr std::size_t max_frame_bytes = std::size_t{1024} * 1024;
 
 struct link_limits
 {
     /// Encoded messages that wait to be written.
-    std::size_t write_queue_bytes = 16 * 1024 * 1024;
+    std::size_t write_queue_bytes = std::size_t{16} * 1024 * 1024;
     /// From the first byte of a frame to its last.
     std::chrono::milliseconds frame_timeout{10000};
     std::chrono::milliseconds connect_timeout{2000};
@@ -41,16 +41,17 @@
 
 /// Accepts links until `close`. Errors: invalid_settings if the endpoint
 /// cannot be bound.
-core::result<listener_ptr> listen(boost::asio::any_io_executor executor,
+core::result<listener_ptr> listen(const boost::asio::any_io_executor& executor,
                                   const core::endpoint& at,
                                   message_handler on_message,
                                   closed_handler on_closed,
                                   const link_limits& limits = {});
 
 /// Calls `on_connected` once; the other handlers only after a success.
-void connect(boost::asio::any_io_executor executor, const core::endpoint& to,
-             connected_handler on_connected, message_handler on_message,
-             closed_handler on_closed, const link_limits& limits = {});
+void connect(const boost::asio::any_io_executor& executor,
+             const core::endpoint& to, connected_handler on_connected,
+             message_handler on_message, closed_handler on_closed,
+             const link_limits& limits = {});
 
 /// Queues the message; callable from any thread. Messages of one thread keep
 /// their order. Closes the link if the write queue exceeds its limit or the
