--- /dev/null
+++ b/libs/admission/src/pool.cpp
@@ -0,0 +1,1 @@
+#include "godwitbarrow/admission/pool.hpp"
--- /dev/null
+++ b/libs/routing/src/candidates.cpp
@@ -0,0 +1,1 @@
+#include "godwitbarrow/routing/candidates.hpp"
--- /dev/null
+++ b/libs/serving/src/decide.cpp
@@ -0,0 +1,1 @@
+#include "godwitbarrow/serving/decide.hpp"
--- /dev/null
+++ b/libs/serving/src/state.cpp
@@ -0,0 +1,1 @@
+#include "godwitbarrow/serving/state.hpp"
--- /dev/null
+++ b/libs/session/src/reached.cpp
@@ -0,0 +1,1 @@
+#include "godwitbarrow/session/reached.hpp"
