--- a/libs/admission/src/pool.cpp
+++ b/libs/admission/src/pool.cpp
@@ -1,1 +1,164 @@
 #include "godwitbarrow/admission/pool.hpp"
+
+#include <algorithm>
+
+namespace godwitbarrow::admission
+{
+namespace detail
+{
+namespace
+{
+
+/// Whether the connection was opened before a silence and has not answered
+/// since.
+bool suspected(const pool_state& it, const connection_state& connection)
+{
+    return it.silence_noticed && connection.opened_at <= *it.silence_noticed &&
+           connection.proven_at <= *it.silence_noticed;
+}
+
+core::time_point close_at(const connection_state& it,
+                          const pool_settings& settings)
+{
+    switch (it.phase)
+    {
+        case connection_phase::opening:
+            return it.since + settings.open_timeout;
+        case connection_phase::probing:
+            return it.since + settings.probe_timeout;
+        case connection_phase::idle:
+            return it.used_at + settings.idle_limit;
+        case connection_phase::busy:
+            break;
+    }
+    return core::time_point::max();
+}
+
+/// Proof that goes stale is renewed before a request needs the connection.
+core::time_point probe_at(const pool_state& it,
+                          const connection_state& connection,
+                          const pool_settings& settings)
+{
+    if (connection.phase != connection_phase::idle)
+        return core::time_point::max();
+    if (suspected(it, connection))
+        return *it.silence_noticed;
+    return connection.proven_at + settings.probe_after;
+}
+
+std::size_t count_usable(const pool_state& it, const pool_settings& settings,
+                         core::time_point now)
+{
+    return static_cast<std::size_t>(
+        std::count_if(it.open.begin(), it.open.end(),
+                      [&](const auto& entry)
+                      {
+                          return entry.second.phase == connection_phase::idle &&
+                                 !needs_probe(it, entry.second, settings, now);
+                      }));
+}
+
+/// Idle connections that may turn out to work after a probe.
+std::size_t count_probed(const pool_state& it)
+{
+    return static_cast<std::size_t>(std::count_if(
+        it.open.begin(), it.open.end(),
+        [&](const auto& entry)
+        {
+            return entry.second.phase == connection_phase::probing &&
+                   !suspected(it, entry.second);
+        }));
+}
+
+}  // namespace
+}  // namespace detail
+
+std::size_t usable_limit(const pool_state& it, const pool_settings& settings)
+{
+    return it.connections > settings.reserve ? it.connections - settings.reserve
+                                             : std::size_t{1};
+}
+
+std::size_t count_in(const pool_state& it, connection_phase phase)
+{
+    return static_cast<std::size_t>(std::count_if(
+        it.open.begin(), it.open.end(),
+        [&](const auto& entry) { return entry.second.phase == phase; }));
+}
+
+bool needs_probe(const pool_state& it, const connection_state& connection,
+                 const pool_settings& settings, core::time_point now)
+{
+    return detail::suspected(it, connection) ||
+           now >= connection.proven_at + settings.probe_after;
+}
+
+std::optional<connection_number> pick_idle(const pool_state& it,
+                                           const pool_settings& settings,
+                                           core::time_point now)
+{
+    std::optional<connection_number> best;
+    core::time_point used_at;
+    for (const auto& [number, connection] : it.open)
+    {
+        if (connection.phase != connection_phase::idle ||
+            needs_probe(it, connection, settings, now) ||
+            now >= detail::close_at(connection, settings))
+            continue;
+        if (best && connection.used_at <= used_at)
+            continue;
+        best = number;
+        used_at = connection.used_at;
+    }
+    return best;
+}
+
+std::vector<connection_number> to_probe(const pool_state& it,
+                                        const pool_settings& settings,
+                                        core::time_point now)
+{
+    std::vector<connection_number> numbers;
+    for (const auto& [number, connection] : it.open)
+        if (detail::probe_at(it, connection, settings) <= now &&
+            now < detail::close_at(connection, settings))
+            numbers.push_back(number);
+    return numbers;
+}
+
+std::vector<connection_number> to_close(const pool_state& it,
+                                        const pool_settings& settings,
+                                        core::time_point now)
+{
+    std::vector<connection_number> numbers;
+    for (const auto& [number, connection] : it.open)
+        if (detail::close_at(connection, settings) <= now)
+            numbers.push_back(number);
+    return numbers;
+}
+
+std::size_t to_open(const pool_state& it, const pool_settings& settings,
+                    std::size_t waiting, core::time_point now)
+{
+    const auto limit = usable_limit(it, settings);
+    const auto coming = detail::count_usable(it, settings, now) +
+                        detail::count_probed(it) +
+                        count_in(it, connection_phase::opening);
+    const auto wanted = waiting + settings.warm_spares;
+    if (wanted <= coming || it.open.size() >= limit)
+        return 0;
+    return std::min(wanted - coming, limit - it.open.size());
+}
+
+std::optional<core::time_point> next_due(const pool_state& it,
+                                         const pool_settings& settings)
+{
+    auto due = core::time_point::max();
+    for (const auto& [number, connection] : it.open)
+        due = std::min({due, detail::close_at(connection, settings),
+                        detail::probe_at(it, connection, settings)});
+    if (due == core::time_point::max())
+        return std::nullopt;
+    return due;
+}
+
+}  // namespace godwitbarrow::admission
