--- a/libs/admission/include/godwitbarrow/admission/pool.hpp
+++ b/libs/admission/include/godwitbarrow/admission/pool.hpp
@@ -57,6 +57,9 @@
     std::map<connection_number, connection_state> open;
     /// When a connection last went silent.
     std::optional<core::time_point> silence_noticed;
+    /// Attempts to open that failed in a row, and the end of their back-off.
+    unsigned failed_opens = 0;
+    std::optional<core::time_point> open_after;
 };
 
 /// Connections that this owner may use.
@@ -64,6 +67,10 @@
 
 std::size_t count_in(const pool_state& it, connection_phase phase);
 
+/// Whether the connection was opened before a silence was noticed and has not
+/// answered since.
+bool suspected(const pool_state& it, const connection_state& connection);
+
 /// Whether the connection must be probed before it carries a statement.
 bool needs_probe(const pool_state& it, const connection_state& connection,
                  const pool_settings& settings, core::time_point now);
--- a/libs/admission/include/godwitbarrow/admission/queue.hpp
+++ b/libs/admission/include/godwitbarrow/admission/queue.hpp
@@ -35,10 +35,22 @@
     std::size_t max_entries = 10000;
 };
 
+/// What an entry needs besides a slot.
+enum class connection_need
+{
+    /// Any idle connection.
+    shared,
+    /// A connection that a new transaction keeps.
+    for_transaction,
+    /// Nothing: its transaction holds a connection.
+    held
+};
+
 struct queued
 {
     core::request_id id;
     core::rank importance = core::rank::deferred;
+    connection_need need = connection_need::shared;
     core::time_point arrived;
     core::time_point deadline;
 };
--- a/libs/admission/src/pool.cpp
+++ b/libs/admission/src/pool.cpp
@@ -9,14 +9,6 @@
 namespace
 {
 
-/// Whether the connection was opened before a silence and has not answered
-/// since.
-bool suspected(const pool_state& it, const connection_state& connection)
-{
-    return it.silence_noticed && connection.opened_at <= *it.silence_noticed &&
-           connection.proven_at <= *it.silence_noticed;
-}
-
 core::time_point close_at(const connection_state& it,
                           const pool_settings& settings)
 {
@@ -73,6 +65,12 @@
 }  // namespace
 }  // namespace detail
 
+bool suspected(const pool_state& it, const connection_state& connection)
+{
+    return it.silence_noticed && connection.opened_at < *it.silence_noticed &&
+           connection.proven_at < *it.silence_noticed;
+}
+
 std::size_t usable_limit(const pool_state& it, const pool_settings& settings)
 {
     return it.connections > settings.reserve ? it.connections - settings.reserve
@@ -89,7 +87,7 @@
 bool needs_probe(const pool_state& it, const connection_state& connection,
                  const pool_settings& settings, core::time_point now)
 {
-    return detail::suspected(it, connection) ||
+    return suspected(it, connection) ||
            now >= connection.proven_at + settings.probe_after;
 }
 
@@ -139,6 +137,8 @@
 std::size_t to_open(const pool_state& it, const pool_settings& settings,
                     std::size_t waiting, core::time_point now)
 {
+    if (it.open_after && now < *it.open_after)
+        return 0;
     const auto limit = usable_limit(it, settings);
     const auto coming = detail::count_usable(it, settings, now) +
                         detail::count_probed(it) +
@@ -152,7 +152,7 @@
 std::optional<core::time_point> next_due(const pool_state& it,
                                          const pool_settings& settings)
 {
-    auto due = core::time_point::max();
+    auto due = it.open_after.value_or(core::time_point::max());
     for (const auto& [number, connection] : it.open)
         due = std::min({due, detail::close_at(connection, settings),
                         detail::probe_at(it, connection, settings)});
--- a/libs/serving/include/godwitbarrow/serving/state.hpp
+++ b/libs/serving/include/godwitbarrow/serving/state.hpp
@@ -54,6 +54,8 @@
 
 struct member_state
 {
+    /// Whether a status request was answered or missed since the start.
+    bool known = false;
     bool leaving = false;
     /// Whether the last status request was answered.
     bool reachable = false;
@@ -100,8 +102,9 @@
     /// Started by this host to roll back a transaction; nobody is answered.
     bool internal = false;
     unsigned attempts = 0;
-    /// Last reason why it was held or failed.
-    std::optional<core::error> last_error;
+    /// A server refused the view's term; the request waits for a newer view,
+    /// or until then.
+    std::optional<core::time_point> blocked_until;
 
     // While running.
     dispatch_number dispatch = 0;
@@ -109,6 +112,8 @@
     core::term_number sent_term = 0;
     core::time_point sent_at;
     core::time_point reply_by;
+    /// What was known of the age of the member's data when it was sent.
+    std::optional<core::time_point> fresh_at_send;
 
     // While confirming.
     core::backend_reply reply;
@@ -124,7 +129,6 @@
     /// Set while a statement of the transaction is queued or running.
     std::optional<core::request_id> active;
     core::time_point idle_since;
-    bool commit_sent = false;
 };
 
 struct group_view
@@ -148,9 +152,9 @@
     /// Writes that wait for a majority, by their position.
     std::set<std::pair<core::log_position, core::request_id>> confirming;
     std::map<core::transaction_id, transaction_state> transactions;
-    /// Transactions whose commit was sent and that ended without an answer,
-    /// oldest first. A repeated commit must not be told "not run".
-    std::deque<core::transaction_id> undecided;
+    /// Transactions whose commit was sent, oldest first. A repeated commit
+    /// must not be told "not run".
+    std::deque<core::transaction_id> ended;
     session::primary_history history;
     admission::retry_budget budget;
     /// Moving average of the time from a write's reply to its majority.
--- a/libs/serving/src/state.cpp
+++ b/libs/serving/src/state.cpp
@@ -1,1 +1,56 @@
 #include "godwitbarrow/serving/state.hpp"
+
+namespace godwitbarrow::serving
+{
+namespace detail
+{
+namespace
+{
+
+void apply_limits(group_state& state, const server_settings& it)
+{
+    const auto found = state.servers.find(it.server);
+    if (found == state.servers.end())
+        return;
+    found->second.queue.slots = it.slots;
+    found->second.pool.connections = it.connections;
+}
+
+bool listed(const group_settings& settings, const core::server_id& server)
+{
+    for (const auto& it : settings.servers)
+        if (it.server == server)
+            return true;
+    return false;
+}
+
+}  // namespace
+}  // namespace detail
+
+group_state make_group_state(const group_settings& settings, std::uint64_t seed)
+{
+    group_state state;
+    state.random = seed;
+    state.budget.available = settings.retry.burst;
+    apply_settings(state, settings);
+    return state;
+}
+
+void apply_settings(group_state& state, const group_settings& settings)
+{
+    state.settings = settings;
+    for (auto it = state.members.begin(); it != state.members.end();)
+    {
+        if (detail::listed(settings, it->first))
+            ++it;
+        else
+            it = state.members.erase(it);
+    }
+    for (const auto& it : settings.servers)
+    {
+        state.members.try_emplace(it.server);
+        detail::apply_limits(state, it);
+    }
+}
+
+}  // namespace godwitbarrow::serving
