--- /dev/null
+++ b/libs/admission/test/pool_test.cpp
@@ -0,0 +1,115 @@
+#include "godwitbarrow/admission/pool.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::admission;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct connections
+{
+    pool_state pool;
+    pool_settings settings;
+    core::time_point now{1000s};
+
+    void add(connection_number n, connection_phase phase, core::duration age)
+    {
+        const auto t = now - age;
+        pool.open[n] = {phase, t, t, t, t};
+    }
+
+    std::size_t missing(std::size_t waiting) const
+    {
+        return to_open(pool, settings, waiting, now);
+    }
+};
+
+constexpr auto idle = connection_phase::idle;
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(an_owner_has_connections_to_a_server)
+
+// Guards against an owner that leaves no room for its successor.
+BOOST_FIXTURE_TEST_CASE(it_leaves_the_reserve_to_others, connections)
+{
+    BOOST_TEST(usable_limit(pool, settings) == 12U);
+    BOOST_TEST(missing(100) == 12U);
+    pool.connections = 2;
+    BOOST_TEST(usable_limit(pool, settings) == 1U);
+}
+
+// Guards against requests that wait for a connection to open.
+BOOST_FIXTURE_TEST_CASE(spares_are_open_before_they_are_needed, connections)
+{
+    BOOST_TEST(missing(0) == 2U);
+    add(1, idle, 1s);
+    add(2, connection_phase::opening, 1ms);
+    BOOST_TEST(missing(0) == 0U);
+    BOOST_TEST(missing(3) == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(the_most_recently_used_is_taken, connections)
+{
+    add(1, idle, 2s);
+    add(2, idle, 1s);
+    add(3, connection_phase::busy, 0s);
+    BOOST_TEST((pick_idle(pool, settings, now) == 2U));
+}
+
+BOOST_AUTO_TEST_SUITE(that_were_idle_for_a_while)
+
+// Guards against statements on connections that a firewall has dropped.
+BOOST_FIXTURE_TEST_CASE(they_are_probed_before_reuse, connections)
+{
+    add(1, idle, 5s);
+    BOOST_TEST(!pick_idle(pool, settings, now).has_value());
+    BOOST_TEST(to_probe(pool, settings, now).size() == 1U);
+    BOOST_TEST((next_due(pool, settings) == now));
+}
+
+BOOST_FIXTURE_TEST_CASE(they_are_closed_at_the_limit, connections)
+{
+    add(1, idle, 60s);
+    pool.open[1].proven_at = now;
+    BOOST_TEST(!pick_idle(pool, settings, now).has_value());
+    BOOST_TEST(to_close(pool, settings, now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(of_which_one_went_silent)
+
+// Guards against requests that follow each other onto dead connections.
+BOOST_FIXTURE_TEST_CASE(older_ones_are_not_used_without_a_probe, connections)
+{
+    add(1, idle, 2s);
+    add(2, idle, 500ms);
+    pool.silence_noticed = now - 1s;
+    BOOST_TEST(needs_probe(pool, pool.open[1], settings, now));
+    BOOST_TEST((pick_idle(pool, settings, now) == 2U));
+    pool.open[1].proven_at = now;
+    BOOST_TEST(!needs_probe(pool, pool.open[1], settings, now));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_probe_without_an_answer_times_out, connections)
+{
+    add(1, connection_phase::probing, 500ms);
+    add(2, connection_phase::opening, 500ms);
+    BOOST_TEST(to_close(pool, settings, now).size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a loop of attempts to a server that accepts none.
+BOOST_FIXTURE_TEST_CASE(failed_attempts_back_off, connections)
+{
+    pool.open_after = now + 10ms;
+    BOOST_TEST(missing(5) == 0U);
+    BOOST_TEST((next_due(pool, settings) == now + 10ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
