--- a/libs/failover/include/godwitbarrow/failover/events.hpp
+++ b/libs/failover/include/godwitbarrow/failover/events.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,14 @@
 
 // Events.
 
+/// A poll was sent that the member may hold for `wait` before it answers.
+/// Without this event a wait of `timing::longest_poll_wait` is assumed.
+struct status_requested
+{
+    core::server_id server;
+    std::chrono::milliseconds wait{0};
+};
+
 struct status_received
 {
     core::server_id server;
@@ -41,6 +50,7 @@
     core::time_point requested_at;
 };
 
+/// A poll failed or got no answer within its deadline.
 struct status_missed
 {
     core::server_id server;
@@ -53,7 +63,9 @@
     core::host_id reporter;
 };
 
-/// Whether another host reached a server on a new connection.
+/// Whether a host reached a server on a new connection. An accepted
+/// connection counts as reached even if the status comes late. For a replica
+/// `status` says whether it hears from the primary.
 struct observation_received
 {
     std::uint64_t round = 0;
@@ -101,7 +113,9 @@
     bool leaving = true;
 };
 
-/// The hosts that may observe, and whether this host coordinates the group.
+/// The live hosts that may observe, best first and without this host, and
+/// whether this host coordinates the group. `observers` is empty only if this
+/// host is the only one in the host list; hosts that do not answer stay in it.
 struct role_changed
 {
     bool coordinator = false;
@@ -112,13 +126,16 @@
 {
 };
 
-using event = std::variant<status_received, status_missed, suspicion_reported,
-                           observation_received, row_read, row_written,
-                           fence_answered, promote_answered, view_learned,
-                           server_leaving, role_changed, tick>;
+using event =
+    std::variant<status_received, status_missed, suspicion_reported,
+                 observation_received, row_read, row_written, fence_answered,
+                 promote_answered, view_learned, server_leaving, role_changed,
+                 tick, status_requested>;
 
 // Actions.
 
+/// Answered by exactly one `row_read`; `write_row` by exactly one
+/// `row_written`. At most one of the two is outstanding for a group.
 struct read_row
 {
 };
