--- a/libs/failover/include/godwitbarrow/failover/state.hpp
+++ b/libs/failover/include/godwitbarrow/failover/state.hpp
@@ -33,8 +33,10 @@
     std::chrono::milliseconds status_validity{2500};
     /// Reports of the data path count together within this time.
     std::chrono::milliseconds report_window{2000};
-    /// Least time between two reports of this host to the coordinator.
-    std::chrono::milliseconds report_interval{250};
+    /// Least time between two reports to the coordinator of failures on the
+    /// data path, and of silence.
+    std::chrono::milliseconds report_interval{50};
+    std::chrono::milliseconds silence_report_interval{1000};
     /// Longest time that a round of observers takes.
     std::chrono::milliseconds observation_timeout{500};
     /// Pause after a round that did not confirm the suspicion.
@@ -147,15 +149,18 @@
 
 struct store_state
 {
-    /// Row as last read or written; absent if it has to be read.
+    /// Row as last read or written.
     std::optional<versioned_row> row;
+    /// The row may have changed and has to be read before it is used.
+    bool stale = true;
+    /// When the content of `row` was seen first, or its attempt progressed.
     core::time_point row_since;
     store_call call = store_call::none;
     group_row written;
     core::time_point retry_at;
     std::chrono::milliseconds pause{0};
     core::time_point refresh_at;
-    /// Members in the term of a row without primary; more of them is progress.
+    /// Members in the term of a row without primary. An increase is progress.
     std::size_t members_in_term = 0;
 };
 
--- /dev/null
+++ b/libs/failover/src/claim.cpp
@@ -0,0 +1,140 @@
+#include <algorithm>
+
+#include "detail.hpp"
+
+namespace godwitbarrow::failover::detail
+{
+namespace
+{
+
+bool primary_answered_since(const group_state& state, core::time_point t)
+{
+    const auto* primary = find_primary(state);
+    return primary != nullptr && primary->status && primary->requested_at > t &&
+           primary->status->role == core::member_role::primary;
+}
+
+/// Whether the reason of the attempt still holds.
+bool still_needed(const group_state& state)
+{
+    const auto* primary = find_primary(state);
+    switch (state.attempt.reason)
+    {
+        case cause::unreachable:
+            return !primary_answered_since(state, state.attempt.confirmed_at);
+        case cause::partitioned:
+            return contact_deadline(state).has_value();
+        case cause::leaving:
+            return primary != nullptr && primary->leaving;
+        case cause::unresolved:
+            return true;
+    }
+    return true;
+}
+
+core::term_number next_term(const group_state& state)
+{
+    auto term = std::max(state.store.row->row.term, state.view.term);
+    for (const auto& [server, member] : state.members)
+        if (member.status)
+            term = std::max(term, member.status->term);
+    return term + 1;
+}
+
+void write_claim(step& at)
+{
+    auto& state = at.state;
+    auto& attempt = state.attempt;
+    const auto term = next_term(state);
+    // A claim that is repeated keeps its id, so that a first write whose
+    // answer was lost is recognised whenever it takes effect.
+    if (attempt.id.value.empty() || attempt.term != term)
+    {
+        attempt.term = term;
+        attempt.id = next_attempt(state);
+    }
+    write(at, store_call::claiming, {term, std::nullopt, attempt.id});
+}
+
+/// Whether the row shows the claim of this attempt.
+bool holds_claim(const group_state& state)
+{
+    const auto& row = state.store.row->row;
+    return !state.attempt.id.value.empty() && row.attempt == state.attempt.id &&
+           row.term == state.attempt.term;
+}
+
+}  // namespace
+
+core::time_point takeover_at(const group_state& state)
+{
+    return state.store.row_since + state.limits.takeover_delay;
+}
+
+bool knows_majority(const group_state& state)
+{
+    const auto n = std::count_if(state.members.begin(), state.members.end(),
+                                 [](const auto& it)
+                                 { return it.second.status.has_value(); });
+    return static_cast<std::size_t>(n) >= majority(state);
+}
+
+bool unresolved(const group_state& state)
+{
+    const auto& row = state.store.row;
+    if (!row || row->row.primary)
+        return false;
+    if (row->version == 0)
+        return !state.view.primary;
+    return row->row.term > state.view.term;
+}
+
+void begin_claim(step& at, cause reason)
+{
+    auto& state = at.state;
+    state.attempt = {};
+    state.attempt.reason = reason;
+    state.attempt.replaces = state.view.term;
+    state.attempt.confirmed_at = at.now;
+    state.now_in = phase::claiming;
+    note(at, note_progress::step::confirmed, state.view.term,
+         "the group needs a new primary");
+    continue_claim(at);
+}
+
+void continue_claim(step& at)
+{
+    auto& state = at.state;
+    auto& attempt = state.attempt;
+    if (state.store.call != store_call::none)
+        return;
+    if (!attempt.in_doubt && !still_needed(state))
+    {
+        abandon(at, "the primary is back");
+        return;
+    }
+    if (!store_ready(state, at.now))
+        return;
+    if (state.store.stale)
+    {
+        request_row(at);
+        return;
+    }
+    if (holds_claim(state))
+    {
+        begin_fencing(at);
+        return;
+    }
+    attempt.in_doubt = false;
+    const auto row = state.store.row->row;
+    if (row.primary && row.term > attempt.replaces)
+        adopt_view(at, row.term, *row.primary);
+    else if (unresolved(state) && at.now < takeover_at(state))
+        abandon(at, "another coordinator claimed a term");
+    else if (!still_needed(state))
+        abandon(at, "the primary is back");
+    else
+        write_claim(at);
+}
+
+}  // namespace godwitbarrow::failover::detail
