--- /dev/null
+++ b/libs/settings/include/godwitbarrow/settings/settings.hpp
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "godwitbarrow/core/endpoint.hpp"
+#include "godwitbarrow/core/names.hpp"
+#include "godwitbarrow/core/request.hpp"
+#include "godwitbarrow/settings/file_set.hpp"
+
+/// The settings of the whole fleet, as merged from one folder.
+namespace godwitbarrow::settings
+{
+
+struct platform_settings
+{
+    core::endpoint address;
+    /// Deadline of each call.
+    std::chrono::milliseconds timeout{2000};
+};
+
+struct data_centre
+{
+    core::region_id region;
+    /// One-way latency to other data centres, where it is stated.
+    std::map<core::data_centre_id, std::chrono::microseconds> latency;
+};
+
+struct host
+{
+    /// IP address that the host listens on and that its peers connect to.
+    std::string address;
+    std::uint16_t caller_port = 0;
+    std::uint16_t peer_port = 0;
+    /// Health, metrics and admin API.
+    std::uint16_t admin_port = 0;
+    core::data_centre_id data_centre;
+};
+
+struct group
+{
+    std::string description;
+    /// The backend servers that name this group, in name order.
+    std::vector<core::server_id> members;
+};
+
+struct backend_server
+{
+    core::group_id group;
+    core::endpoint address;
+    core::data_centre_id data_centre;
+    /// Statements that may run at a time.
+    std::uint32_t slots = 0;
+    /// Connections that the server accepts from the whole fleet.
+    std::uint32_t connections = 0;
+};
+
+/// A kind of request, for example "quote".
+struct kind
+{
+    core::rank importance = core::rank::deferred;
+    /// Weight of one request in reports; no unit.
+    double worth = 1.0;
+};
+
+struct rank_settings
+{
+    /// Guaranteed share of the dispatches of a server, as a fraction 0..1.
+    double minimum_share = 0.0;
+    /// Slots of each server that only requests of this rank may use.
+    std::uint32_t reserved_slots = 0;
+    /// Share of the requests that must be good, as a fraction below 1.
+    double objective = 0.99;
+    /// A request counts as good if it completes within this time.
+    std::chrono::milliseconds latency_objective{1000};
+    /// Deadline of a request that names none.
+    std::chrono::milliseconds deadline{1000};
+};
+
+enum class queue_policy
+{
+    ranked,
+    first_come_first_served
+};
+
+enum class read_policy
+{
+    replicas,
+    primary_only
+};
+
+struct limit_settings
+{
+    /// Bytes of a request body.
+    std::uint64_t body = 64 * 1024;
+    /// Bytes of a request header.
+    std::uint64_t header = 8 * 1024;
+    /// Connections of callers that one host keeps open.
+    std::uint32_t open_connections = 10000;
+    /// Time for a caller to send a whole request.
+    std::chrono::milliseconds request_read_time{5000};
+    /// Time for requests in flight to finish at a graceful shutdown.
+    std::chrono::milliseconds drain_limit{30000};
+    /// An open transaction without a statement for this time is rolled back.
+    std::chrono::milliseconds transaction_idle_limit{10000};
+    /// An idle connection to a backend server is closed at this age.
+    std::chrono::milliseconds idle_age{60000};
+    /// An idle connection is probed before use after this time.
+    std::chrono::milliseconds probe_after{5000};
+    /// Retries per success of a group, as a fraction.
+    double retry_ratio = 0.1;
+    queue_policy queue = queue_policy::ranked;
+    read_policy reads = read_policy::replicas;
+};
+
+/// Bounds the requests of some kinds together.
+struct team
+{
+    std::vector<std::string> kinds;
+    /// Requests of these kinds that one host keeps in flight at a time.
+    std::uint32_t limit = 0;
+};
+
+struct settings
+{
+    platform_settings platform;
+    std::map<core::data_centre_id, data_centre> data_centres;
+    std::map<core::host_id, host> hosts;
+    std::map<core::group_id, group> groups;
+    std::map<core::server_id, backend_server> backend_servers;
+    std::map<std::string, kind> kinds;
+    /// Indexed by `core::index_of`.
+    std::array<rank_settings, core::rank_count> ranks;
+    limit_settings limits;
+    std::map<std::string, team> teams;
+};
+
+/// One fault of a file set. `line` is 0 if the fault is in no single line.
+struct problem
+{
+    std::string file;
+    std::uint32_t line = 0;
+    /// What is wrong and what to write instead.
+    std::string message;
+};
+
+/// "file:line: message".
+std::string to_string(const problem& it);
+
+/// Merges the files in name order, the later file winning for each key, and
+/// checks the whole result. Returns every problem that it finds.
+std::variant<settings, std::vector<problem>> parse_settings(
+    const file_set& files);
+
+/// The merged result in INI form. Keys that the files leave out appear with
+/// their default.
+std::string to_text(const settings& it);
+
+}  // namespace godwitbarrow::settings
