--- /dev/null
+++ b/libs/settings/include/godwitbarrow/settings/keys.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// The one table of all keys: parsing, validation and docs/settings.md
+/// follow it.
+namespace godwitbarrow::settings
+{
+
+enum class value_type
+{
+    text,
+    /// Letters, digits, '_' and '-', at most `max_name_length` characters.
+    name,
+    /// Names separated by commas.
+    names,
+    ip_address,
+    endpoint,
+    port,
+    count,
+    /// Decimal number without unit.
+    number,
+    /// Whole number with unit ms, s, min or h; limits in milliseconds.
+    duration,
+    /// Whole number with unit us, ms or s; limits in microseconds.
+    short_duration,
+    /// Whole number with unit B, KiB or MiB; limits in bytes.
+    size,
+    /// Decimal number followed by %; limits in percent.
+    percent,
+    /// One of the words in `choices`.
+    choice
+};
+
+constexpr std::size_t max_name_length = 32;
+
+enum class change_effect
+{
+    /// In effect for what starts after the change; nothing is interrupted.
+    while_running,
+    /// In effect on a host when its process is started again.
+    at_restart
+};
+
+struct key_info
+{
+    /// "limits", or "host" for the sections [host.NAME].
+    std::string_view section;
+    /// Empty if the keys of the section are names of data centres.
+    std::string_view key;
+    value_type type = value_type::text;
+    bool required = false;
+    /// In the form of the file; empty if there is none.
+    std::string_view default_text;
+    double minimum = 0;
+    double maximum = 0;
+    /// Separated by '|'.
+    std::string_view choices;
+    change_effect effect = change_effect::while_running;
+    /// What a change does while the fleet runs.
+    std::string_view change;
+};
+
+const std::vector<key_info>& all_keys();
+
+/// Null if the section has no such key.
+const key_info* find_key(std::string_view section, std::string_view key);
+
+/// Whether any key belongs to the section.
+bool is_section(std::string_view section);
+/// Whether the section is written [section.NAME].
+bool is_named_section(std::string_view section);
+
+/// Unit as an operator writes it, for example "ms, s, min or h".
+std::string unit_text(const key_info& it);
+/// Accepted values, for example "1 to 65535".
+std::string range_text(const key_info& it);
+/// One row of the table of a section in docs/settings.md.
+std::string documentation_row(const key_info& it);
+
+}  // namespace godwitbarrow::settings
--- /dev/null
+++ b/libs/settings/src/ini_file.cpp
@@ -0,0 +1,165 @@
+#include "ini_file.hpp"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <cstring>
+#include <set>
+#include <string_view>
+
+#include "godwitbarrow/settings/keys.hpp"
+
+namespace godwitbarrow::settings::detail
+{
+namespace
+{
+
+/// inih keeps 49 characters of a section header or a key.
+constexpr std::size_t max_token_length = 49;
+/// Line ending and terminator, which inih counts as part of its line buffer.
+constexpr std::size_t line_overhead = 3;
+
+/// One pass of inih over one file. inih calls the handler before it reads the
+/// next line, so `line` is the line of the key.
+struct pass
+{
+    const std::string& file;
+    std::string_view rest;
+    std::uint32_t line = 0;
+    section_map& sections;
+    std::vector<problem>& problems;
+    /// Keys of this file, to find repetitions: "section\nkey".
+    std::set<std::string> seen;
+};
+
+void report(pass& it, const std::string& message)
+{
+    it.problems.push_back({it.file, it.line, message});
+}
+
+std::string_view take_line(std::string_view& rest)
+{
+    const auto end = rest.find('\n');
+    auto text = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    if (!text.empty() && text.back() == '\r')
+        text.remove_suffix(1);
+    return text;
+}
+
+section& open_section(pass& it, const std::string& header)
+{
+    const auto [found, added] = it.sections.try_emplace(header);
+    if (added)
+    {
+        const auto dot = header.find('.');
+        found->second.type = header.substr(0, dot);
+        if (dot != std::string::npos)
+            found->second.name = header.substr(dot + 1);
+        found->second.at = {it.file, it.line};
+    }
+    return found->second;
+}
+
+bool has_control_character(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(),
+                       [](unsigned char c)
+                       { return (c < ' ' && c != '\t') || c == 127; });
+}
+
+/// Opens a section at its header, since inih is silent about one without keys.
+void note_header(pass& it, std::string_view text)
+{
+    const auto end = text.find(']');
+    if (text.empty() || text.front() != '[' || end == std::string_view::npos)
+        return;
+    const auto header = text.substr(1, end - 1);
+    if (header.size() > max_token_length)
+        report(it, "section header is longer than 49 characters; shorten it");
+    else
+        open_section(it, std::string(header));
+}
+
+/// A line that inih cannot take whole is reported and read as a comment.
+std::string_view checked_line(pass& it, std::string_view text,
+                              std::size_t capacity)
+{
+    if (text.size() + line_overhead > capacity)
+    {
+        report(it, "line is longer than " +
+                       std::to_string(capacity - line_overhead) +
+                       " bytes; shorten it");
+        return ";";
+    }
+    if (has_control_character(text))
+    {
+        report(it, "line contains a control character; remove it");
+        return ";";
+    }
+    return text;
+}
+
+/// Reader for inih with the contract of fgets. Leading blanks are dropped,
+/// because inih would read an indented line as part of the previous value.
+char* next_line(char* buf, int capacity, void* stream)
+{
+    auto& it = *static_cast<pass*>(stream);
+    if (it.rest.empty())
+        return nullptr;
+    ++it.line;
+    auto text = take_line(it.rest);
+    const auto first = text.find_first_not_of(" \t");
+    text.remove_prefix(first == std::string_view::npos ? text.size() : first);
+    text = checked_line(it, text, static_cast<std::size_t>(capacity));
+    note_header(it, text);
+    std::memcpy(buf, text.data(), text.size());
+    buf[text.size()] = '\n';
+    buf[text.size() + 1] = '\0';
+    return buf;
+}
+
+int keep_entry(void* user, const char* header, const char* key,
+               const char* value)
+{
+    auto& it = *static_cast<pass*>(user);
+    const std::string name(key);
+    if (*header == '\0')
+        report(it, "key \"" + name +
+                       "\" stands before any section; write a section header "
+                       "such as [limits] above it");
+    else if (name.size() >= max_token_length)
+        report(it, "key is longer than 48 characters; shorten it");
+    else if (!it.seen.insert(std::string(header) + '\n' + name).second)
+        report(it, "key \"" + name + "\" occurs twice in [" + header +
+                       "] of this file; remove one of them");
+    else
+        open_section(it, header).entries[name] = {value, {it.file, it.line}};
+    return 1;
+}
+
+void read_file(const std::string& file, std::string_view content,
+               section_map& sections, std::vector<problem>& problems)
+{
+    constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+    if (content.substr(0, byte_order_mark.size()) == byte_order_mark)
+        content.remove_prefix(byte_order_mark.size());
+    pass it{file, content, 0, sections, problems, {}};
+    const int line = ini_parse_stream(next_line, &it, keep_entry, &it);
+    if (line > 0)
+        problems.push_back({file, static_cast<std::uint32_t>(line),
+                            "neither a section nor a key; write [SECTION] or "
+                            "KEY = VALUE, or start a comment with ;"});
+}
+
+}  // namespace
+
+section_map merge_files(const file_set& files, std::vector<problem>& problems)
+{
+    section_map sections;
+    for (const auto& [file, content] : files)
+        read_file(file, content, sections, problems);
+    return sections;
+}
+
+}  // namespace godwitbarrow::settings::detail
--- /dev/null
+++ b/libs/settings/src/validate.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "ini_file.hpp"
+
+namespace godwitbarrow::settings::detail
+{
+
+/// Reports sections and keys that the key table does not have.
+void check_names(const section_map& sections, std::vector<problem>& problems);
+
+/// Reports what is wrong between sections, such as references to names that
+/// do not exist. `it` was filled from `sections`.
+void check_whole(const settings& it, const section_map& sections,
+                 std::vector<problem>& problems);
+
+}  // namespace godwitbarrow::settings::detail
--- /dev/null
+++ b/libs/settings/src/values.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "godwitbarrow/settings/keys.hpp"
+#include "ini_file.hpp"
+
+/// Typed values of one section. Each function falls back to the default of
+/// the key table and reports a missing or wrong value as a problem.
+namespace godwitbarrow::settings::detail
+{
+
+struct section_reader
+{
+    const section& from;
+    std::vector<problem>& problems;
+};
+
+/// Where the key is written; the section header if it is not written.
+const place& place_of(const section& from, const std::string& key);
+void report(std::vector<problem>& problems, const place& at,
+            std::string message);
+
+std::string read_text(section_reader& in, const std::string& key);
+std::string read_name(section_reader& in, const std::string& key);
+std::vector<std::string> read_names(section_reader& in, const std::string& key);
+std::string read_ip_address(section_reader& in, const std::string& key);
+core::endpoint read_endpoint(section_reader& in, const std::string& key);
+std::uint32_t read_count(section_reader& in, const std::string& key);
+std::uint16_t read_port(section_reader& in, const std::string& key);
+double read_number(section_reader& in, const std::string& key);
+std::chrono::milliseconds read_duration(section_reader& in,
+                                        const std::string& key);
+std::chrono::microseconds read_short_duration(section_reader& in,
+                                              const std::string& key);
+/// Bytes.
+std::uint64_t read_size(section_reader& in, const std::string& key);
+/// A fraction 0..1.
+double read_percent(section_reader& in, const std::string& key);
+/// Index of the chosen word in the key's choices.
+std::size_t read_choice(section_reader& in, const std::string& key);
+
+}  // namespace godwitbarrow::settings::detail
