--- a/libs/settings/include/godwitbarrow/settings/file_set.hpp
+++ b/libs/settings/include/godwitbarrow/settings/file_set.hpp
@@ -15,10 +15,10 @@
 using file_set = std::map<std::string, std::string>;
 
 /// Greatest size of one file, in bytes.
-constexpr std::uint64_t max_file_size = 1024 * 1024;
+constexpr std::uint64_t max_file_size = 1024ULL * 1024;
 /// Greatest size of all files together, in bytes. The set of the size
 /// expected in two years has 2.6 MB.
-constexpr std::uint64_t max_set_size = 16 * 1024 * 1024;
+constexpr std::uint64_t max_set_size = 16ULL * 1024 * 1024;
 constexpr std::size_t max_files = 20000;
 
 /// Reads the regular files *.ini of a folder, not of its subfolders.
--- a/libs/settings/include/godwitbarrow/settings/publish.hpp
+++ b/libs/settings/include/godwitbarrow/settings/publish.hpp
@@ -206,8 +206,11 @@
     bool any_candidate = false;
     /// Newest generation that the folder took into account.
     generation_number base = 0;
-    /// Digest of the content that was considered last.
+    /// Digest of the valid content that was considered last.
     std::string digest;
+    /// Digest of the content that ended in a conflict; a folder that returns
+    /// to it has not been merged. Empty after the next publication.
+    std::string lost_digest;
 };
 
 /// A write whose outcome has to be found.
@@ -236,6 +239,8 @@
     effective_generation effective;
     publish_step step = publish_step::idle;
     back_off wait;
+    /// The row that `pending` builds on.
+    versioned_row row;
     std::optional<candidate> pending;
     /// Considered while `pending` was on its way.
     std::optional<candidate> queued;
--- a/libs/settings/include/godwitbarrow/settings/settings.hpp
+++ b/libs/settings/include/godwitbarrow/settings/settings.hpp
@@ -80,7 +80,7 @@
     /// A request counts as good if it completes within this time.
     std::chrono::milliseconds latency_objective{1000};
     /// Deadline of a request that names none.
-    std::chrono::milliseconds deadline{1000};
+    std::chrono::milliseconds deadline{5000};
 };
 
 enum class queue_policy
@@ -98,9 +98,9 @@
 struct limit_settings
 {
     /// Bytes of a request body.
-    std::uint64_t body = 64 * 1024;
+    std::uint64_t body = 64ULL * 1024;
     /// Bytes of a request header.
-    std::uint64_t header = 8 * 1024;
+    std::uint64_t header = 8ULL * 1024;
     /// Connections of callers that one host keeps open.
     std::uint32_t open_connections = 10000;
     /// Time for a caller to send a whole request.
--- /dev/null
+++ b/libs/settings/src/row.cpp
@@ -0,0 +1,127 @@
+#include "godwitbarrow/settings/row.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace godwitbarrow::settings
+{
+namespace detail
+{
+namespace
+{
+
+core::error malformed_row()
+{
+    return {core::error_kind::protocol_error,
+            "the row settings/current is malformed; check that nothing but "
+            "godwitbarrow writes it, delete it and publish the folder again"};
+}
+
+std::vector<std::string> split_words(const std::string& text)
+{
+    std::istringstream in(text);
+    std::vector<std::string> words;
+    for (std::string word; in >> word;)
+        words.push_back(word);
+    return words;
+}
+
+/// Whether the line belongs to the row and its value could be read.
+bool read_line(settings_row& to, const std::string& key,
+               const std::string& value)
+{
+    if (key == "publisher")
+        to.publisher.value = value;
+    else if (key == "attempt")
+        to.attempt.value = value;
+    else if (key == "digests")
+        to.digests = split_words(value);
+    else if (key == "generation")
+    {
+        const auto end = value.data() + value.size();
+        const auto [stop, ec] =
+            std::from_chars(value.data(), end, to.generation);
+        return ec == std::errc() && stop == end;
+    }
+    // A newer version of the program may add keys.
+    return true;
+}
+
+bool is_plausible(const settings_row& it)
+{
+    return it.generation > 0 && !it.digests.empty() &&
+           it.digests.size() <= it.generation && !it.attempt.value.empty();
+}
+
+}  // namespace
+}  // namespace detail
+
+std::optional<std::string> digest_of(const settings_row& row,
+                                     generation_number generation)
+{
+    if (generation > row.generation)
+        return std::nullopt;
+    const auto age = row.generation - generation;
+    if (age >= row.digests.size())
+        return std::nullopt;
+    return row.digests[row.digests.size() - 1 - age];
+}
+
+std::string current_digest(const settings_row& row)
+{
+    return row.digests.empty() ? "" : row.digests.back();
+}
+
+bool is_older_digest(const settings_row& row, const std::string& digest)
+{
+    if (row.digests.empty())
+        return false;
+    const auto newest = row.digests.end() - 1;
+    return std::find(row.digests.begin(), newest, digest) != newest;
+}
+
+bool has_whole_history(const settings_row& row)
+{
+    return row.digests.size() >= row.generation;
+}
+
+settings_row next_row(const settings_row& row, const std::string& digest,
+                      const core::host_id& publisher,
+                      const core::attempt_id& attempt)
+{
+    settings_row next{row.generation + 1, publisher, attempt, row.digests};
+    next.digests.push_back(digest);
+    if (next.digests.size() > kept_generations)
+        next.digests.erase(next.digests.begin());
+    return next;
+}
+
+std::string encode_row(const settings_row& row)
+{
+    std::string digests;
+    for (const auto& it : row.digests)
+        digests += " " + it;
+    return "generation " + std::to_string(row.generation) + "\npublisher " +
+           row.publisher.value + "\nattempt " + row.attempt.value +
+           "\ndigests" + digests + "\n";
+}
+
+core::result<settings_row> decode_row(const std::string& text)
+{
+    settings_row it;
+    std::istringstream in(text);
+    for (std::string line; std::getline(in, line);)
+    {
+        const auto blank = line.find(' ');
+        if (blank == std::string::npos ||
+            !detail::read_line(it, line.substr(0, blank),
+                               line.substr(blank + 1)))
+            return detail::malformed_row();
+    }
+    if (!detail::is_plausible(it))
+        return detail::malformed_row();
+    return it;
+}
+
+}  // namespace godwitbarrow::settings
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -158,13 +158,6 @@
 }  // namespace
 }  // namespace detail
 
-std::string to_string(const problem& it)
-{
-    if (it.file.empty())
-        return it.message;
-    return it.file + ":" + std::to_string(it.line) + ": " + it.message;
-}
-
 std::variant<settings, std::vector<problem>> parse_settings(
     const file_set& files)
 {
--- a/libs/settings/src/units.cpp
+++ b/libs/settings/src/units.cpp
@@ -25,7 +25,7 @@
 constexpr std::array<unit, 3> short_duration_units{
     {{"s", 1000000}, {"ms", 1000}, {"us", 1}}};
 constexpr std::array<unit, 3> size_units{
-    {{"MiB", 1024 * 1024}, {"KiB", 1024}, {"B", 1}}};
+    {{"MiB", 1024ULL * 1024}, {"KiB", 1024}, {"B", 1}}};
 
 template <std::size_t N>
 std::optional<std::uint64_t> parse_with_unit(std::string_view text,
--- a/libs/settings/src/validate.cpp
+++ b/libs/settings/src/validate.cpp
@@ -193,6 +193,18 @@
                      "%; lower them to 100% or less");
 }
 
+/// Null if there is none; servers whose number was reported do not count.
+const std::pair<const core::server_id, backend_server>*
+server_with_fewest_slots(const settings& it)
+{
+    const std::pair<const core::server_id, backend_server>* found = nullptr;
+    for (const auto& server : it.backend_servers)
+        if (server.second.slots > 0 &&
+            (!found || server.second.slots < found->second.slots))
+            found = &server;
+    return found;
+}
+
 void check_reserved_slots(checker& in)
 {
     for (const auto rank : {core::rank::interactive, core::rank::deferred})
@@ -202,15 +214,15 @@
                      "use minimum_share instead");
     const auto reserved =
         in.it.ranks[core::index_of(core::rank::urgent)].reserved_slots;
-    for (const auto& [name, server] : in.it.backend_servers)
-        if (reserved > 0 && server.slots > 0 && reserved >= server.slots)
-            complain(in, rank_header(core::rank::urgent), "reserved_slots",
-                     std::to_string(reserved) +
-                         " reserved slots leave other ranks none of the " +
-                         std::to_string(server.slots) +
-                         " slots of backend server " + name.value +
-                         "; write a number below " +
-                         std::to_string(server.slots));
+    const auto* least = server_with_fewest_slots(in.it);
+    if (reserved == 0 || !least || reserved < least->second.slots)
+        return;
+    const auto slots = std::to_string(least->second.slots);
+    complain(in, rank_header(core::rank::urgent), "reserved_slots",
+             std::to_string(reserved) +
+                 " reserved slots leave other ranks none of the " + slots +
+                 " slots of backend server " + least->first.value +
+                 "; write a number below " + slots);
 }
 
 void check_objectives(checker& in)
@@ -275,14 +287,15 @@
     std::vector<std::string> names;
     for (const auto& it : all_keys())
     {
-        const auto name = "[" + std::string(it.section) +
-                          (is_named_section(it.section) ? ".NAME]" : "]");
+        std::string name = "[";
+        name += it.section;
+        name += is_named_section(it.section) ? ".NAME]" : "]";
         if (names.empty() || names.back() != name)
             names.push_back(name);
     }
     std::string text;
     for (const auto& it : names)
-        text += (text.empty() ? "" : ", ") + it;
+        text.append(text.empty() ? "" : ", ").append(it);
     return text;
 }
 
@@ -291,10 +304,17 @@
     std::string text;
     for (const auto& it : all_keys())
         if (it.section == section)
-            text += (text.empty() ? "" : ", ") + std::string(it.key);
+            text.append(text.empty() ? "" : ", ").append(it.key);
     return text;
 }
 
+std::string unknown_key(const std::string& header, const section& from,
+                        const std::string& key)
+{
+    return "unknown key \"" + key + "\" in [" + header + "]; its keys are " +
+           known_keys(from.type);
+}
+
 /// What is wrong with the header of a section; empty if nothing is.
 std::string header_fault(const section& it)
 {
@@ -329,9 +349,7 @@
             continue;
         for (const auto& [key, value] : from.entries)
             if (!find_key(from.type, key))
-                report(problems, value.at,
-                       "unknown key \"" + key + "\" in [" + header +
-                           "]; its keys are " + known_keys(from.type));
+                report(problems, value.at, unknown_key(header, from, key));
     }
 }
 
--- a/libs/settings/src/values.cpp
+++ b/libs/settings/src/values.cpp
@@ -91,7 +91,8 @@
     }
 }
 
-/// A number within the range of the key, or 0 after a problem.
+/// A number within the range of the key. After a problem the default, or 0 if
+/// there is none, so that the problem causes no further ones.
 double read_in_range(section_reader& in, const std::string& key)
 {
     const auto* info = find_key(in.from.type, key);
@@ -103,7 +104,7 @@
     if (n && in_range(*n, *info))
         return *n;
     report_value(in, key, *text, *info);
-    return 0;
+    return parse_as(info->type, std::string(info->default_text)).value_or(0);
 }
 
 }  // namespace
--- /dev/null
+++ b/libs/settings/test/row_test.cpp
@@ -0,0 +1,65 @@
+#include "godwitbarrow/settings/row.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::settings;
+
+namespace
+{
+
+/// The row after generations 1 to n, whose digests are "d1" to "dn".
+settings_row row_of(generation_number n)
+{
+    settings_row it;
+    for (generation_number g = 1; g <= n; ++g)
+        it = next_row(it, "d" + std::to_string(g), core::host_id{"h"},
+                      core::attempt_id{"h/1/" + std::to_string(g)});
+    return it;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(the_settings_row)
+
+// Guards against a change of the format that older processes cannot read.
+BOOST_AUTO_TEST_CASE(has_a_stable_text_form)
+{
+    const std::string text =
+        "generation 2\npublisher h\nattempt h/1/2\ndigests d1 d2\n";
+    BOOST_TEST(encode_row(row_of(2)) == text);
+    const auto it = decode_row(text + "added_later 1\n");
+    BOOST_TEST(encode_row(std::get<settings_row>(it)) == text);
+}
+
+// Guards against taking a foreign value for a generation.
+BOOST_AUTO_TEST_CASE(is_refused_when_damaged)
+{
+    for (const auto* text :
+         {"", "generation 0\nattempt a\ndigests d\n", "generation\n",
+          "generation 1\nattempt a\ndigests\n",
+          "generation x\nattempt a\ndigests d\n",
+          "generation 1\nattempt a\ndigests d e\n"})
+        BOOST_TEST(!core::ok(decode_row(text)));
+}
+
+BOOST_AUTO_TEST_SUITE(keeps_the_last_generations)
+
+// Guards against a stale folder that is not recognised, and against a row that
+// grows without bound.
+BOOST_AUTO_TEST_CASE(and_drops_older_ones)
+{
+    const auto it = row_of(kept_generations + 6);
+    BOOST_TEST(it.digests.size() == kept_generations);
+    BOOST_TEST(digest_of(it, 7).value_or("") == "d7");
+    BOOST_TEST(!digest_of(it, 6));
+    BOOST_TEST(!digest_of(it, 71));
+    BOOST_TEST(is_older_digest(it, "d7"));
+    BOOST_TEST(!is_older_digest(it, "d70"));
+    BOOST_TEST(current_digest(it) == "d70");
+    BOOST_TEST(!has_whole_history(it));
+    BOOST_TEST(has_whole_history(row_of(kept_generations)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
