--- /dev/null
+++ b/libs/settings/test/publish_fixture.hpp
@@ -0,0 +1,168 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "godwitbarrow/settings/publish.hpp"
+
+/// A store in memory and hosts that publish to it.
+namespace godwitbarrow::settings::test
+{
+
+/// What happens to one call of the store.
+enum class call_fate
+{
+    answered,
+    /// Takes effect, but the caller sees a failure.
+    answer_lost,
+    /// Has no effect, and the caller sees a failure.
+    refused,
+    /// The caller sees a failure; a row write takes effect later.
+    delayed
+};
+
+struct store
+{
+    versioned_row current;
+    std::map<std::string, file_set> objects;
+    std::vector<write_row> delayed;
+    /// Digest by generation, as written.
+    std::map<generation_number, std::string> history;
+};
+
+struct publisher
+{
+    publish_state state;
+    std::deque<action> calls;
+    /// Everything but calls of the store.
+    std::vector<action> reports;
+};
+
+inline const core::error unavailable{core::error_kind::store_unavailable,
+                                     "the store is down; wait"};
+
+/// A valid folder; different numbers give different contents.
+inline file_set folder(int number)
+{
+    std::string text =
+        "[platform]\naddress = 127.0.0.1:1\n[data_centre.a]\nregion = a\n"
+        "[host.h]\naddress = 127.0.0.1\ncaller_port = 2\npeer_port = 3\n"
+        "admin_port = 4\ndata_centre = a\n[group.g]\n[kind.k]\nrank = urgent\n";
+    for (const auto* name : {"5", "6", "7"})
+        text += std::string("[backend_server.s") + name +
+                "]\ngroup = g\ndata_centre = a\nslots = 1\nconnections = 4\n"
+                "address = 127.0.0.1:" +
+                name + "\n";
+    return {{"a.ini", text},
+            {"b.ini", "[limits]\nopen_connections = " +
+                          std::to_string(number + 1) + "\n"}};
+}
+
+inline bool write_to(store& to, const write_row& it)
+{
+    if (to.current.version != it.expected_version)
+        return false;
+    to.current = {it.row, to.current.version + 1};
+    to.history[it.row.generation] = current_digest(it.row);
+    return true;
+}
+
+inline void apply_delayed(store& to)
+{
+    for (const auto& it : to.delayed)
+        write_to(to, it);
+    to.delayed.clear();
+}
+
+inline event answer(store& to, const put_object& it, call_fate fate)
+{
+    if (fate == call_fate::answered || fate == call_fate::answer_lost)
+        to.objects[it.digest] = *it.files;
+    if (fate != call_fate::answered)
+        return object_put{unavailable};
+    return object_put{};
+}
+
+inline event answer(store& to, const get_object& it, call_fate fate)
+{
+    if (fate != call_fate::answered)
+        return object_read{it.digest, unavailable};
+    return object_read{it.digest, to.objects.at(it.digest)};
+}
+
+inline event answer(store& to, const read_row&, call_fate fate)
+{
+    if (fate != call_fate::answered)
+        return row_read{unavailable};
+    return row_read{to.current};
+}
+
+inline event answer(store& to, const write_row& it, call_fate fate)
+{
+    if (fate == call_fate::delayed)
+        to.delayed.push_back(it);
+    if (fate == call_fate::delayed || fate == call_fate::refused)
+        return row_written{unavailable};
+    const bool written = write_to(to, it);
+    if (fate == call_fate::answer_lost)
+        return row_written{unavailable};
+    if (!written)
+        return row_written{core::error{core::error_kind::conflict, "version"}};
+    return row_written{to.current.version};
+}
+
+template <class Action>
+constexpr bool is_call =
+    std::is_same_v<Action, put_object> || std::is_same_v<Action, get_object> ||
+    std::is_same_v<Action, read_row> || std::is_same_v<Action, write_row>;
+
+inline void feed(publisher& to, const event& it, core::time_point now)
+{
+    for (auto& a : decide(to.state, it, now))
+        std::visit(
+            [&](auto& x)
+            {
+                if (is_call<std::decay_t<decltype(x)>>)
+                    to.calls.push_back(a);
+                else
+                    to.reports.push_back(a);
+            },
+            a);
+}
+
+/// Carries out the oldest call.
+inline void perform(publisher& from, store& to, call_fate fate,
+                    core::time_point now)
+{
+    const auto call = from.calls.front();
+    from.calls.pop_front();
+    std::visit(
+        [&](const auto& it)
+        {
+            if constexpr (is_call<std::decay_t<decltype(it)>>)
+                feed(from, answer(to, it, fate), now);
+        },
+        call);
+}
+
+inline publisher make_publisher(const std::string& name)
+{
+    publisher it;
+    it.state.self.value = name;
+    it.state.incarnation = "1";
+    return it;
+}
+
+template <class Report>
+std::vector<Report> all_reports(const publisher& it)
+{
+    std::vector<Report> found;
+    for (const auto& a : it.reports)
+        if (const auto* r = std::get_if<Report>(&a))
+            found.push_back(*r);
+    return found;
+}
+
+}  // namespace godwitbarrow::settings::test
--- /dev/null
+++ b/libs/settings/test/publish_test.cpp
@@ -0,0 +1,459 @@
+#include "godwitbarrow/settings/publish.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "publish_fixture.hpp"
+#include "rapidcheck.h"
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::settings;
+using namespace godwitbarrow::settings::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Hosts a and b with one store; calls are answered at once unless said
+/// otherwise.
+struct fleet
+{
+    store platform;
+    core::time_point now{1h};
+    publisher a = make_publisher("a");
+    publisher b = make_publisher("b");
+
+    void run(publisher& it, call_fate fate = call_fate::answered)
+    {
+        while (!it.calls.empty())
+            perform(it, platform, fate, now);
+    }
+
+    /// Scans the folder twice, so that its content is considered.
+    void scan(publisher& it, const file_set& files)
+    {
+        feed(it, folder_scanned{files}, now);
+        feed(it, folder_scanned{files}, now);
+    }
+
+    void save(publisher& it, const file_set& files)
+    {
+        scan(it, files);
+        run(it);
+    }
+
+    void wait_and_run(publisher& it, call_fate fate = call_fate::answered)
+    {
+        now += 10s;
+        feed(it, tick{}, now);
+        run(it, fate);
+    }
+
+    generation_number generation() const
+    {
+        return platform.current.row.generation;
+    }
+
+    publisher restart(const publisher& it) const
+    {
+        return make_publisher(it.state.self.value);
+    }
+};
+
+std::vector<generation_number> applied(const publisher& it)
+{
+    std::vector<generation_number> numbers;
+    for (const auto& x : all_reports<apply>(it))
+        numbers.push_back(x.generation);
+    return numbers;
+}
+
+using numbers = std::vector<generation_number>;
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(a_host_watches_its_folder, fleet)
+
+BOOST_AUTO_TEST_SUITE(that_is_valid)
+
+// Guards against serving without settings, and against a first folder that is
+// taken for a generation before the row says so.
+BOOST_AUTO_TEST_CASE(it_becomes_generation_1_after_the_platform_is_reached)
+{
+    scan(a, folder(1));
+    BOOST_TEST(all_reports<bootstrap>(a).size() == 1u);
+    BOOST_TEST(applied(a).empty());
+    run(a);
+    BOOST_TEST(applied(a) == numbers{1});
+    BOOST_TEST(platform.history[1] == digest(folder(1)));
+}
+
+// Guards against publishing a file that an editor is still writing.
+BOOST_AUTO_TEST_CASE(a_content_counts_when_two_scans_agree)
+{
+    feed(a, folder_scanned{folder(1)}, now);
+    feed(a, folder_scanned{folder(2)}, now);
+    BOOST_TEST(a.calls.empty());
+    feed(a, folder_scanned{folder(2)}, now);
+    run(a);
+    BOOST_TEST(platform.history[1] == digest(folder(2)));
+}
+
+// Guards against a new generation for every scan.
+BOOST_AUTO_TEST_CASE(an_unchanged_folder_is_published_once)
+{
+    save(a, folder(1));
+    save(a, folder(1));
+    wait_and_run(a);
+    BOOST_TEST(generation() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(that_becomes_invalid)
+
+// Guards against an invalid file that replaces or withdraws good settings.
+BOOST_AUTO_TEST_CASE(the_last_accepted_content_stays_and_the_fault_is_told_once)
+{
+    save(a, folder(1));
+    auto broken = folder(2);
+    broken["c.ini"] = "[limits]\nbody = much\n";
+    save(a, broken);
+    save(a, broken);
+    const auto reports = all_reports<report_rejected>(a);
+    BOOST_TEST(reports.size() == 1u);
+    BOOST_TEST(reports[0].problems[0].file == "c.ini");
+    BOOST_TEST(generation() == 1u);
+    save(a, folder(3));
+    BOOST_TEST(applied(a) == (numbers{1, 2}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(while_the_store_is_down)
+
+// Guards against a change that is lost or that waits without a word.
+BOOST_AUTO_TEST_CASE(it_says_so_and_publishes_after_the_store_returns)
+{
+    scan(a, folder(1));
+    run(a, call_fate::refused);
+    for (int n = 0; n < 3; ++n)
+        wait_and_run(a, call_fate::refused);
+    const auto waits = all_reports<report_waiting>(a);
+    BOOST_TEST(waits.size() == 4u);
+    BOOST_TEST(waits[3].failures == 4u);
+    wait_and_run(a);
+    BOOST_TEST(applied(a) == numbers{1});
+}
+
+// Guards against load on a store that is trying to recover.
+BOOST_AUTO_TEST_CASE(it_does_not_call_before_the_stated_time)
+{
+    scan(a, folder(1));
+    run(a, call_fate::refused);
+    const auto until = all_reports<report_waiting>(a)[0].retry_at;
+    feed(a, tick{}, until - 1ms);
+    BOOST_TEST(a.calls.empty());
+    feed(a, tick{}, until);
+    BOOST_TEST(a.calls.size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(and_the_answer_to_its_row_write_is_lost)
+
+void lose_answer(fleet& it, call_fate fate)
+{
+    it.scan(it.a, folder(1));
+    for (int n = 0; n < 2; ++n)
+        perform(it.a, it.platform, call_fate::answered, it.now);
+    perform(it.a, it.platform, fate, it.now);
+}
+
+// Guards against a second generation for the same change.
+BOOST_AUTO_TEST_CASE(it_reads_the_row_back_and_finds_its_attempt)
+{
+    lose_answer(*this, call_fate::answer_lost);
+    BOOST_TEST(generation() == 1u);
+    wait_and_run(a);
+    BOOST_TEST(generation() == 1u);
+    BOOST_TEST(applied(a) == numbers{1});
+    BOOST_TEST(all_reports<report_published>(a).size() == 1u);
+}
+
+// Guards against a delayed write and its repetition both taking effect.
+BOOST_AUTO_TEST_CASE(it_sends_the_same_attempt_again_if_the_row_is_unchanged)
+{
+    lose_answer(*this, call_fate::delayed);
+    now += 10s;
+    feed(a, tick{}, now);
+    perform(a, platform, call_fate::answered, now);
+    const auto first = platform.delayed.front().row.attempt;
+    const auto second = std::get<write_row>(a.calls.front()).row.attempt;
+    BOOST_TEST(first == second);
+    apply_delayed(platform);
+    run(a);
+    BOOST_TEST(generation() == 1u);
+    BOOST_TEST(applied(a) == numbers{1});
+    BOOST_TEST(all_reports<report_conflict>(a).empty());
+}
+
+// Guards against telling a winner that it lost because another host followed.
+BOOST_AUTO_TEST_CASE(it_finds_its_generation_below_a_newer_one)
+{
+    lose_answer(*this, call_fate::answer_lost);
+    save(b, folder(1));
+    save(b, folder(2));
+    wait_and_run(a);
+    BOOST_TEST(all_reports<report_conflict>(a).empty());
+    BOOST_TEST(applied(a) == (numbers{1, 2}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(two_operators_save_at_the_same_time, fleet)
+
+struct race : fleet
+{
+    race()
+    {
+        save(a, folder(1));
+        save(b, folder(1));
+        scan(a, folder(2));
+        scan(b, folder(3));
+        for (int n = 0; n < 2; ++n)
+            for (auto* it : {&a, &b})
+                perform(*it, platform, call_fate::answered, now);
+        run(a);
+        run(b);
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(with_different_contents, race)
+
+// Guards against a lost change that its operator believes to be in effect.
+BOOST_AUTO_TEST_CASE(one_wins_and_the_other_is_told_once_who_won)
+{
+    BOOST_TEST(generation() == 2u);
+    BOOST_TEST(all_reports<report_conflict>(a).empty());
+    const auto told = all_reports<report_conflict>(b);
+    BOOST_TEST(told.size() == 1u);
+    BOOST_TEST(told[0].generation == 2u);
+    BOOST_TEST(told[0].publisher.value == "a");
+    BOOST_TEST(to_string(told[0]).find("merge") != std::string::npos);
+}
+
+// Guards against the loser's folder replacing the winner's change later.
+BOOST_AUTO_TEST_CASE(the_loser_is_not_published_until_its_content_changes)
+{
+    save(b, folder(3));
+    wait_and_run(b);
+    BOOST_TEST(generation() == 2u);
+    auto broken = folder(3);
+    broken["c.ini"] = "x";
+    save(b, broken);
+    save(b, folder(3));
+    BOOST_TEST(generation() == 2u);
+    save(b, folder(4));
+    BOOST_TEST(generation() == 3u);
+    BOOST_TEST(all_reports<report_conflict>(b).size() == 1u);
+}
+
+// Guards against a folder made from an old generation undoing newer changes.
+BOOST_AUTO_TEST_CASE(
+    a_later_change_made_without_the_newest_generation_conflicts)
+{
+    save(b, folder(4));
+    feed(a, newer_generation_learned{3, folder(4)}, now);
+    save(a, folder(5));
+    BOOST_TEST(generation() == 3u);
+    const auto told = all_reports<report_conflict>(a);
+    BOOST_TEST(told.size() == 1u);
+    BOOST_TEST((told[0].cause == conflict_cause::lost_race));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_the_same_content)
+
+// Guards against conflicts when one folder is copied to every host.
+BOOST_AUTO_TEST_CASE(both_are_done)
+{
+    scan(a, folder(1));
+    scan(b, folder(1));
+    for (int n = 0; n < 2; ++n)
+        for (auto* it : {&a, &b})
+            perform(*it, platform, call_fate::answered, now);
+    run(a);
+    run(b);
+    BOOST_TEST(generation() == 1u);
+    BOOST_TEST(applied(a) == numbers{1});
+    BOOST_TEST(applied(b) == numbers{1});
+    BOOST_TEST(all_reports<report_conflict>(b).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(a_host_starts_again, fleet)
+
+// Guards against settings that revert when a host returns with an old folder.
+BOOST_AUTO_TEST_CASE(with_an_older_folder_it_takes_the_current_generation)
+{
+    save(a, folder(1));
+    save(a, folder(2));
+    a = restart(a);
+    save(a, folder(1));
+    BOOST_TEST(generation() == 2u);
+    BOOST_TEST(applied(a) == numbers{2});
+    const auto told = all_reports<report_conflict>(a);
+    BOOST_TEST(told.size() == 1u);
+    BOOST_TEST((told[0].cause == conflict_cause::stale_folder));
+}
+
+// Guards against the same, when the row no longer keeps the old digest.
+BOOST_AUTO_TEST_CASE(with_a_folder_of_unknown_age_it_does_not_publish)
+{
+    const int more = static_cast<int>(kept_generations) + 2;
+    for (int n = 0; n < more; ++n)
+        save(a, folder(n));
+    a = restart(a);
+    save(a, folder(0));
+    BOOST_TEST(generation() == static_cast<generation_number>(more));
+    const auto told = all_reports<report_conflict>(a);
+    BOOST_TEST(told.size() == 1u);
+    BOOST_TEST((told[0].cause == conflict_cause::age_unknown));
+}
+
+// Guards against a change that is ignored because the host was down.
+BOOST_AUTO_TEST_CASE(with_a_new_folder_it_publishes)
+{
+    save(a, folder(1));
+    a = restart(a);
+    save(a, folder(2));
+    BOOST_TEST(generation() == 2u);
+}
+
+// Guards against a host that never learns the settings.
+BOOST_AUTO_TEST_CASE(without_a_folder_it_fetches_the_current_generation)
+{
+    feed(a, tick{}, now);
+    run(a);
+    BOOST_TEST(applied(a).empty());
+    save(b, folder(1));
+    wait_and_run(a, call_fate::refused);
+    wait_and_run(a);
+    BOOST_TEST(applied(a) == numbers{1});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(generations_come_from_peers, fleet)
+
+// Guards against a late message that reverts the settings.
+BOOST_AUTO_TEST_CASE(only_higher_ones_are_applied)
+{
+    for (const auto n : {2, 1, 2, 4, 3})
+        feed(a,
+             newer_generation_learned{static_cast<generation_number>(n),
+                                      folder(n)},
+             now);
+    BOOST_TEST(applied(a) == (numbers{2, 4}));
+}
+
+// Guards against dropping good settings for some of a newer program version.
+BOOST_AUTO_TEST_CASE(one_that_this_version_cannot_read_is_told_once)
+{
+    feed(a, newer_generation_learned{1, folder(1)}, now);
+    for (int n = 0; n < 2; ++n)
+        feed(a, newer_generation_learned{2, {{"a.ini", "[new]\n"}}}, now);
+    BOOST_TEST(applied(a) == numbers{1});
+    BOOST_TEST(all_reports<report_rejected>(a).size() == 1u);
+}
+
+// Guards against numbers that start again when the table is lost, which no
+// host would apply.
+BOOST_AUTO_TEST_CASE(numbers_go_on_after_the_table_lost_its_row)
+{
+    save(a, folder(1));
+    save(a, folder(2));
+    platform.current = {};
+    save(a, folder(3));
+    BOOST_TEST(applied(a) == (numbers{1, 2, 3}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(operators_and_faults_act_in_any_order)
+
+void check_host(const publisher& it, const store& platform)
+{
+    generation_number last = 0;
+    for (const auto& x : all_reports<apply>(it))
+    {
+        RC_ASSERT(x.generation > last);
+        last = x.generation;
+        RC_ASSERT(platform.history.at(x.generation) == x.digest);
+    }
+}
+
+void take_random_step(fleet& in)
+{
+    auto& it = *rc::gen::element(true, false) ? in.a : in.b;
+    const auto step = *rc::gen::inRange(0, 8);
+    in.now += std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+    if (step == 0)
+        in.scan(it, folder(*rc::gen::inRange(0, 6)));
+    else if (step == 1)
+        feed(it, tick{}, in.now);
+    else if (step == 2)
+        apply_delayed(in.platform);
+    else if (!it.calls.empty())
+        perform(
+            it, in.platform,
+            *rc::gen::weightedElement<call_fate>({{4, call_fate::answered},
+                                                  {1, call_fate::answer_lost},
+                                                  {1, call_fate::refused},
+                                                  {1, call_fate::delayed}}),
+            in.now);
+}
+
+/// The store works again and peers exchange the newest generation.
+void settle(fleet& in)
+{
+    apply_delayed(in.platform);
+    for (int n = 0; n < 5; ++n)
+        for (auto* it : {&in.a, &in.b})
+            in.wait_and_run(*it);
+    const auto& row = in.platform.current.row;
+    if (row.generation == 0)
+        return;
+    const auto& files = in.platform.objects.at(current_digest(row));
+    for (auto* it : {&in.a, &in.b})
+        feed(*it, newer_generation_learned{row.generation, files}, in.now);
+}
+
+// Guards against two contents under one number, numbers that go back, and a
+// host that stops publishing or stays behind after a fault.
+BOOST_AUTO_TEST_CASE(every_host_applies_the_one_content_of_each_generation)
+{
+    const auto holds = rc::check(
+        []
+        {
+            fleet in;
+            const auto steps = *rc::gen::inRange(0, 150);
+            for (int n = 0; n < steps; ++n)
+                take_random_step(in);
+            settle(in);
+            for (auto* it : {&in.a, &in.b})
+            {
+                check_host(*it, in.platform);
+                RC_ASSERT(it->state.effective.generation == in.generation());
+                RC_ASSERT(it->state.step == publish_step::idle);
+                RC_ASSERT(!it->state.pending && !it->state.queued);
+            }
+        });
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
