--- a/apps/proxy/src/admin.cpp
+++ b/apps/proxy/src/admin.cpp
@@ -40,12 +40,13 @@
     return duration_cast<milliseconds>(age).count();
 }
 
-json::object describe_member(
-    const core::server_id& id, const serving::member_state& member)
+json::object describe_member(const core::server_id& id,
+                             const serving::member_state& member)
 {
-    json::object n{{"server", id.value}, {"leaving", member.leaving},
-        {"reachable", member.reachable},
-        {"age_ms", age_of(member.fresh_as_of)}};
+    json::object n{{"server", id.value},
+                   {"leaving", member.leaving},
+                   {"reachable", member.reachable},
+                   {"age_ms", age_of(member.fresh_as_of)}};
     if (!member.status)
         return n;
     n["term"] = member.status->term;
@@ -63,9 +64,10 @@
     json::array members;
     for (const auto& [id, member] : group.serving.members)
         members.push_back(describe_member(id, member));
-    return {{"group", group.id.value}, {"term", view.term},
-        {"primary", view.primary ? view.primary->value : ""},
-        {"members", std::move(members)}};
+    return {{"group", group.id.value},
+            {"term", view.term},
+            {"primary", view.primary ? view.primary->value : ""},
+            {"members", std::move(members)}};
 }
 
 template <class Describe>
@@ -85,7 +87,8 @@
 json::object list_owners(app& it)
 {
     const auto settings = current_settings(it);
-    return list_groups(it,
+    return list_groups(
+        it,
         [&](group_entry& group)
         {
             json::object servers;
@@ -95,7 +98,8 @@
                 servers[n.value] = owner ? owner->value : "";
             }
             const auto coordinator = coordinator_of_group(it, group.id);
-            return json::object{{"group", group.id.value},
+            return json::object{
+                {"group", group.id.value},
                 {"coordinator", coordinator ? coordinator->value : ""},
                 {"owners", std::move(servers)}};
         });
@@ -111,9 +115,11 @@
         waiting[name] = server.queue.waiting[core::index_of(n)].size();
         running[name] = server.queue.running[core::index_of(n)];
     }
-    return {{"owned", server.owned}, {"slots", server.queue.slots},
-        {"connections", server.pool.open.size()},
-        {"waiting", std::move(waiting)}, {"running", std::move(running)}};
+    return {{"owned", server.owned},
+            {"slots", server.queue.slots},
+            {"connections", server.pool.open.size()},
+            {"waiting", std::move(waiting)},
+            {"running", std::move(running)}};
 }
 
 json::object describe_queues(group_entry& group)
@@ -129,15 +135,15 @@
 {
     std::lock_guard lock(it.settings.mutex);
     return {{"generation", it.settings.generation},
-        {"digest", it.settings.publish.effective.digest},
-        {"last_rejection", it.settings.last_rejection}};
+            {"digest", it.settings.publish.effective.digest},
+            {"last_rejection", it.settings.last_rejection}};
 }
 
 json::object describe_drain(app& it)
 {
     return {{"draining", it.draining.load()},
-        {"in_flight", gateway::requests_in_flight(it.gateway)},
-        {"connections", gateway::open_connections(it.gateway)}};
+            {"in_flight", gateway::requests_in_flight(it.gateway)},
+            {"connections", gateway::open_connections(it.gateway)}};
 }
 
 json::object list_hosts(app& it)
@@ -150,15 +156,15 @@
     for (const auto& n : it.hosts.leaving_servers)
         leaving.push_back(json::string(n.value));
     return {{"version", it.hosts.membership.hosts.version},
-        {"usable", std::move(usable)},
-        {"leaving_servers", std::move(leaving)}};
+            {"usable", std::move(usable)},
+            {"leaving_servers", std::move(leaving)}};
 }
 
 }  // namespace
 }  // namespace detail
 
-std::optional<gateway::admin_response> answer_admin(
-    app& it, std::string_view path)
+std::optional<gateway::admin_response> answer_admin(app& it,
+                                                    std::string_view path)
 {
     if (path == "/healthz")
         return detail::health(it);
@@ -166,7 +172,7 @@
     {
         update_gauges(it);
         return gateway::admin_response{200, "text/plain; version=0.0.4",
-            telemetry::expose(*it.metrics)};
+                                       telemetry::expose(*it.metrics)};
     }
     if (path == "/v1/admin/groups")
         return detail::json_response(
--- a/apps/proxy/src/app.cpp
+++ b/apps/proxy/src/app.cpp
@@ -18,12 +18,12 @@
     return it.settings.current;
 }
 
-routing::place place_of(
-    const settings::settings& of, const core::data_centre_id& data_centre)
+routing::place place_of(const settings::settings& of,
+                        const core::data_centre_id& data_centre)
 {
     const auto n = of.data_centres.find(data_centre);
     return {data_centre,
-        n == of.data_centres.end() ? core::region_id() : n->second.region};
+            n == of.data_centres.end() ? core::region_id() : n->second.region};
 }
 
 group_ptr find_group(app& it, const core::group_id& id)
--- a/apps/proxy/src/delta_codec.cpp
+++ b/apps/proxy/src/delta_codec.cpp
@@ -20,12 +20,12 @@
 core::error malformed_delta()
 {
     return {core::error_kind::protocol_error,
-        "a peer sent a settings delta that this version cannot read; "
-        "upgrade this host"};
+            "a peer sent a settings delta that this version cannot read; "
+            "upgrade this host"};
 }
 
-bool read_changes(
-    const json::object& from, std::map<std::string, std::optional<std::string>>& to)
+bool read_changes(const json::object& from,
+                  std::map<std::string, std::optional<std::string>>& to)
 {
     for (const auto& n : from)
     {
@@ -48,10 +48,10 @@
     for (const auto& [name, content] : it.changes)
         changes[name] = content ? boost::json::value(*content)
                                 : boost::json::value(nullptr);
-    return boost::json::serialize(boost::json::object{
-        {"from_digest", it.from_digest},
-        {"to_digest", it.to_digest},
-        {"changes", std::move(changes)}});
+    return boost::json::serialize(
+        boost::json::object{{"from_digest", it.from_digest},
+                            {"to_digest", it.to_digest},
+                            {"changes", std::move(changes)}});
 }
 
 core::result<settings::settings_delta> decode_delta(
@@ -67,8 +67,8 @@
     const auto* to_digest = n.if_contains("to_digest");
     const auto* changes = n.if_contains("changes");
     if (from_digest == nullptr || !from_digest->is_string() ||
-        to_digest == nullptr || !to_digest->is_string() ||
-        changes == nullptr || !changes->is_object())
+        to_digest == nullptr || !to_digest->is_string() || changes == nullptr ||
+        !changes->is_object())
         return detail::malformed_delta();
     settings::settings_delta it;
     it.from = from;
@@ -129,8 +129,8 @@
     it = {};
     if (settings::digest(whole.files) != chunk.digest)
         return std::nullopt;
-    return settings::newer_generation_learned{
-        whole.generation, std::move(whole.files)};
+    return settings::newer_generation_learned{whole.generation,
+                                              std::move(whole.files)};
 }
 
 }  // namespace godwitbarrow::proxy
--- a/apps/proxy/src/entry.cpp
+++ b/apps/proxy/src/entry.cpp
@@ -63,10 +63,11 @@
     const auto* reason = std::get_if<core::not_run>(&result);
     if (reason == nullptr || !call->possibly_ran)
         return result;
-    return core::outcome_unknown{{reason->reason.kind,
-        reason->reason.message +
-            "; an earlier attempt may have taken effect: repeat the request "
-            "with the same idempotency key"}};
+    return core::outcome_unknown{
+        {reason->reason.kind,
+         reason->reason.message +
+             "; an earlier attempt may have taken effect: repeat the request "
+             "with the same idempotency key"}};
 }
 
 void finish(const call_ptr& call, const core::outcome& last)
@@ -95,17 +96,17 @@
 {
     switch (it)
     {
-    case core::error_kind::no_primary:
-    case core::error_kind::owner_unreachable:
-    case core::error_kind::fenced:
-    case core::error_kind::draining:
-    case core::error_kind::no_connection:
-    case core::error_kind::connection_lost:
-    case core::error_kind::stale_token:
-    case core::error_kind::unknown_group:
-        return true;
-    default:
-        return false;
+        case core::error_kind::no_primary:
+        case core::error_kind::owner_unreachable:
+        case core::error_kind::fenced:
+        case core::error_kind::draining:
+        case core::error_kind::no_connection:
+        case core::error_kind::connection_lost:
+        case core::error_kind::stale_token:
+        case core::error_kind::unknown_group:
+            return true;
+        default:
+            return false;
     }
 }
 
@@ -147,14 +148,15 @@
 {
     call->possibly_ran = true;
     call->last_reason = {{core::error_kind::connection_lost,
-                             "the server owner was lost; repeat the request"},
-        std::chrono::milliseconds(100)};
+                          "the server owner was lost; repeat the request"},
+                         std::chrono::milliseconds(100)};
     if (core::is_repeatable(call->request))
         return retry_later(call);
     finish(call,
-        core::outcome_unknown{{core::error_kind::connection_lost,
-            "the server owner was lost after it got the request; read the "
-            "data to learn whether it took effect"}});
+           core::outcome_unknown{
+               {core::error_kind::connection_lost,
+                "the server owner was lost after it got the request; read the "
+                "data to learn whether it took effect"}});
 }
 
 // The new primary may belong to another owner, which the one that lost the
@@ -168,8 +170,8 @@
     retry_later(call);
 }
 
-void on_result(
-    const call_ptr& call, unsigned n, const std::optional<served>& result)
+void on_result(const call_ptr& call, unsigned n,
+               const std::optional<served>& result)
 {
     if (!take_result(call, n))
         return;
@@ -192,9 +194,10 @@
         return;
     forget_forwarded(call->it, call->request.id);
     finish(call,
-        core::outcome_unknown{{core::error_kind::deadline_exceeded,
-            "no answer came before the deadline; read the data, or repeat "
-            "the request with the same idempotency key"}});
+           core::outcome_unknown{
+               {core::error_kind::deadline_exceeded,
+                "no answer came before the deadline; read the data, or repeat "
+                "the request with the same idempotency key"}});
 }
 
 void await(const call_ptr& call, unsigned n)
@@ -209,7 +212,7 @@
 }
 
 void send_to_owner(const call_ptr& call, const core::host_id& owner,
-    const core::server_id& server)
+                   const core::server_id& server)
 {
     const unsigned n = ++call->attempt;
     call->request.id = attempt_request_id(call->it, call->caller_id, n);
@@ -220,18 +223,19 @@
     await(call, n);
     if (owner == call->it.self)
         return serve(call->it, call->group, server, call->request,
-            [call, n](const served& result) { on_result(call, n, result); });
+                     [call, n](const served& result)
+                     { on_result(call, n, result); });
     forward(call->it, owner, server, call->request,
-        [call, n](const std::optional<served>& result)
-        { on_result(call, n, result); });
+            [call, n](const std::optional<served>& result)
+            { on_result(call, n, result); });
 }
 
 void no_candidate(const call_ptr& call)
 {
     call->last_reason = {{core::error_kind::no_primary,
-                             "no member of the group can serve the request "
-                             "now; repeat it after the pause"},
-        std::chrono::milliseconds(250)};
+                          "no member of the group can serve the request "
+                          "now; repeat it after the pause"},
+                         std::chrono::milliseconds(250)};
     retry_later(call);
 }
 
@@ -241,16 +245,16 @@
         return finish(call, call->last_reason);
     if (call->candidates.empty())
     {
-        call->candidates = list_candidates(
-            call->it, *call->settings, call->group, call->request);
+        call->candidates = list_candidates(call->it, *call->settings,
+                                           call->group, call->request);
         call->next_candidate = 0;
     }
     if (call->next_candidate >= call->candidates.size())
         return no_candidate(call);
     const auto server = call->candidates[call->next_candidate++];
     const auto owner = call->request.transaction
-        ? host_of_transaction(*call->request.transaction)
-        : owner_of_server(call->it, server);
+                           ? host_of_transaction(*call->request.transaction)
+                           : owner_of_server(call->it, server);
     if (!owner)
         return no_candidate(call);
     send_to_owner(call, *owner, server);
@@ -259,8 +263,8 @@
 }  // namespace
 }  // namespace detail
 
-void handle_request(
-    app& it, gateway::parsed_request what, gateway::responder respond)
+void handle_request(app& it, gateway::parsed_request what,
+                    gateway::responder respond)
 {
     auto call = std::make_shared<entry_call>(it, it.io.get_executor());
     call->respond = std::move(respond);
--- a/apps/proxy/src/entry_request.cpp
+++ b/apps/proxy/src/entry_request.cpp
@@ -21,7 +21,7 @@
 }
 
 void release_team(app& it, const settings::settings& of,
-    const std::string& kind)
+                  const std::string& kind)
 {
     const auto* n = team_of(of, kind);
     if (n == nullptr)
@@ -31,8 +31,8 @@
     load = load > 0 ? load - 1 : 0;
 }
 
-routing::latency_knowledge known_latency(
-    const settings::settings& of, const core::data_centre_id& local)
+routing::latency_knowledge known_latency(const settings::settings& of,
+                                         const core::data_centre_id& local)
 {
     routing::latency_knowledge it;
     const auto n = of.data_centres.find(local);
@@ -44,7 +44,7 @@
 // A caller that accepts an age gets it from replicas only if the settings
 // allow replicas to serve reads.
 void keep_primary_only(std::vector<core::server_id>& candidates,
-    const std::optional<core::server_id>& primary)
+                       const std::optional<core::server_id>& primary)
 {
     candidates.clear();
     if (primary)
@@ -52,7 +52,7 @@
 }
 
 void count_reader(app& it, const core::request& what,
-    const core::completed& result)
+                  const core::completed& result)
 {
     if (what.access != core::access_mode::read)
         return;
@@ -62,39 +62,43 @@
     std::unique_lock lock(group->mutex);
     const bool primary = group->serving.view.primary == result.server;
     lock.unlock();
-    telemetry::count_read(*it.metrics,
-        primary ? core::member_role::primary : core::member_role::replica);
+    telemetry::count_read(*it.metrics, primary ? core::member_role::primary
+                                               : core::member_role::replica);
 }
 
 }  // namespace
 }  // namespace detail
 
-std::optional<core::error> complete_request(
-    const settings::settings& of, gateway::parsed_request& it)
+std::optional<core::error> complete_request(const settings::settings& of,
+                                            gateway::parsed_request& it)
 {
     const auto kind = of.kinds.find(it.request.kind);
     if (kind == of.kinds.end())
-        return core::error{core::error_kind::unknown_kind,
+        return core::error{
+            core::error_kind::unknown_kind,
             "kind \"" + it.request.kind +
                 "\" is not in the settings; use a kind that they name or add "
                 "a section [kind." +
                 it.request.kind + "]"};
     if (of.groups.count(it.request.group) == 0)
-        return core::error{core::error_kind::unknown_group,
+        return core::error{
+            core::error_kind::unknown_group,
             "group \"" + it.request.group.value +
                 "\" is not in the settings; use a group that they name or "
                 "add a section [group." +
                 it.request.group.value + "]"};
     it.request.importance = kind->second.importance;
     if (!it.stated_deadline)
-        it.request.deadline = core::runtime_clock::now() +
+        it.request.deadline =
+            core::runtime_clock::now() +
             of.ranks[core::index_of(it.request.importance)].deadline;
     return std::nullopt;
 }
 
 std::vector<core::server_id> list_candidates(app& it,
-    const settings::settings& of, const group_ptr& group,
-    const core::request& what)
+                                             const settings::settings& of,
+                                             const group_ptr& group,
+                                             const core::request& what)
 {
     std::optional<core::server_id> primary;
     {
@@ -108,23 +112,24 @@
         for (const auto& n : of.groups.at(group->id).members)
             members.push_back(
                 {n, place_of(of, of.backend_servers.at(n).data_centre),
-                    it.hosts.leaving_servers.count(n) > 0,
-                    it.hosts.without_contact.count(n) > 0});
+                 it.hosts.leaving_servers.count(n) > 0,
+                 it.hosts.without_contact.count(n) > 0});
     }
-    auto candidates = routing::candidate_servers(what, members, primary,
-        place_of(of, local), detail::known_latency(of, local));
+    auto candidates =
+        routing::candidate_servers(what, members, primary, place_of(of, local),
+                                   detail::known_latency(of, local));
     if (of.limits.reads == settings::read_policy::primary_only)
         detail::keep_primary_only(candidates, primary);
     return candidates;
 }
 
-core::request_id attempt_request_id(
-    app& it, const core::request_id& caller_id, unsigned attempt)
+core::request_id attempt_request_id(app& it, const core::request_id& caller_id,
+                                    unsigned attempt)
 {
     const auto n = it.next_request.fetch_add(1);
     return {it.self.value + "." + std::to_string(it.incarnation) + "." +
-        std::to_string(n) + "." + std::to_string(attempt) + "/" +
-        caller_id.value};
+            std::to_string(n) + "." + std::to_string(attempt) + "/" +
+            caller_id.value};
 }
 
 std::optional<core::host_id> host_of_transaction(const core::transaction_id& it)
@@ -151,18 +156,19 @@
 core::outcome team_limit_reached(const std::string& kind)
 {
     return core::not_run{{core::error_kind::overloaded,
-                             "the team of kind \"" + kind +
-                                 "\" has its limit of requests in flight on "
-                                 "this host; repeat after the pause"},
-        std::chrono::milliseconds(250)};
+                          "the team of kind \"" + kind +
+                              "\" has its limit of requests in flight on "
+                              "this host; repeat after the pause"},
+                         std::chrono::milliseconds(250)};
 }
 
 void count_result(app& it, const settings_ptr& of, const core::request& what,
-    const core::outcome& result, core::time_point started)
+                  const core::outcome& result, core::time_point started)
 {
     detail::release_team(it, *of, what.kind);
     telemetry::count_request(*it.metrics, what.importance,
-        telemetry::classify(result), core::runtime_clock::now() - started);
+                             telemetry::classify(result),
+                             core::runtime_clock::now() - started);
     if (const auto* n = std::get_if<core::completed>(&result))
         detail::count_reader(it, what, *n);
 }
--- a/apps/proxy/src/entry_request.hpp
+++ b/apps/proxy/src/entry_request.hpp
@@ -9,18 +9,19 @@
 
 /// Fills in rank and deadline from the settings. Returns an error if the
 /// settings do not have the kind or the group.
-std::optional<core::error> complete_request(
-    const settings::settings& of, gateway::parsed_request& it);
+std::optional<core::error> complete_request(const settings::settings& of,
+                                            gateway::parsed_request& it);
 
 /// The members that may serve the request, best first.
 std::vector<core::server_id> list_candidates(app& it,
-    const settings::settings& of, const group_ptr& group,
-    const core::request& what);
+                                             const settings::settings& of,
+                                             const group_ptr& group,
+                                             const core::request& what);
 
 /// An id that no other request of the fleet has: callers may use the same id
 /// twice.
-core::request_id attempt_request_id(
-    app& it, const core::request_id& caller_id, unsigned attempt);
+core::request_id attempt_request_id(app& it, const core::request_id& caller_id,
+                                    unsigned attempt);
 
 /// The host that holds the connection of a transaction; absent if the id has
 /// not the form "host/number".
@@ -34,6 +35,6 @@
 
 /// Updates the metrics and the load of the team.
 void count_result(app& it, const settings_ptr& of, const core::request& what,
-    const core::outcome& result, core::time_point started);
+                  const core::outcome& result, core::time_point started);
 
 }  // namespace godwitbarrow::proxy
--- a/apps/proxy/src/gauges.cpp
+++ b/apps/proxy/src/gauges.cpp
@@ -18,7 +18,8 @@
             continue;
         }
         for (const auto n : core::all_ranks)
-            telemetry::set_queue_length(*it.metrics, id, n,
+            telemetry::set_queue_length(
+                *it.metrics, id, n,
                 server.queue.waiting[core::index_of(n)].size());
     }
 }
@@ -32,8 +33,8 @@
         detail::update_group(it, *n);
     telemetry::set_draining(*it.metrics, it.draining.load());
     telemetry::set_gateway_load(*it.metrics,
-        gateway::requests_in_flight(it.gateway),
-        gateway::open_connections(it.gateway));
+                                gateway::requests_in_flight(it.gateway),
+                                gateway::open_connections(it.gateway));
 }
 
 }  // namespace godwitbarrow::proxy
--- a/apps/proxy/src/group_runner.cpp
+++ b/apps/proxy/src/group_runner.cpp
@@ -36,7 +36,7 @@
 void arm_timer(app& it, const group_ptr& group)
 {
     const auto due = earliest(serving::next_wakeup(group->serving),
-        failover::next_wakeup(group->failover));
+                              failover::next_wakeup(group->failover));
     if (!due || (group->timer_due && *group->timer_due <= *due))
         return;
     group->timer_due = due;
@@ -90,7 +90,7 @@
 }
 
 group_ptr make_entry(app& it, const settings::settings& of,
-    const core::group_id& id, const settings::group& group)
+                     const core::group_id& id, const settings::group& group)
 {
     const auto now = core::runtime_clock::now();
     auto entry = std::make_shared<group_entry>(it.io.get_executor());
@@ -108,20 +108,22 @@
 
 void post(app& it, const group_ptr& group, const serving::event& what)
 {
-    detail::decide_and_perform(it, group,
+    detail::decide_and_perform(
+        it, group,
         [&](core::time_point now)
         { return serving::decide(group->serving, what, now); });
 }
 
 void post(app& it, const group_ptr& group, const failover::event& what)
 {
-    detail::decide_and_perform(it, group,
+    detail::decide_and_perform(
+        it, group,
         [&](core::time_point now)
         { return failover::decide(group->failover, what, now); });
 }
 
 void serve(app& it, const group_ptr& group, const core::server_id& server,
-    const core::request& what, served_handler handler)
+           const core::request& what, served_handler handler)
 {
     {
         std::lock_guard lock(group->mutex);
@@ -131,7 +133,7 @@
 }
 
 void learn_view(app& it, const group_ptr& group, core::term_number term,
-    const std::optional<core::server_id>& primary)
+                const std::optional<core::server_id>& primary)
 {
     post(it, group, serving::event(serving::view_changed{term, primary}));
     post(it, group, failover::event(failover::view_learned{term, primary}));
@@ -150,8 +152,8 @@
             continue;
         }
         std::lock_guard lock(entry->mutex);
-        serving::apply_settings(
-            entry->serving, to_group_settings(of, id, it.self));
+        serving::apply_settings(entry->serving,
+                                to_group_settings(of, id, it.self));
     }
     std::lock_guard lock(it.groups.mutex);
     for (auto n = it.groups.groups.begin(); n != it.groups.groups.end();)
--- a/apps/proxy/src/group_runner.hpp
+++ b/apps/proxy/src/group_runner.hpp
@@ -13,11 +13,11 @@
 
 /// Hands a request to the server owner on this host. `handler` runs once.
 void serve(app& it, const group_ptr& group, const core::server_id& server,
-    const core::request& what, served_handler handler);
+           const core::request& what, served_handler handler);
 
 /// Tells both the serving and the failover decisions of a primary.
 void learn_view(app& it, const group_ptr& group, core::term_number term,
-    const std::optional<core::server_id>& primary);
+                const std::optional<core::server_id>& primary);
 
 /// Creates the entries of new groups and updates the settings of the others.
 void apply_group_settings(app& it, const settings::settings& of);
--- a/apps/proxy/src/group_settings.cpp
+++ b/apps/proxy/src/group_settings.cpp
@@ -25,7 +25,8 @@
 }  // namespace detail
 
 serving::group_settings to_group_settings(const settings::settings& of,
-    const core::group_id& group, const core::host_id& self)
+                                          const core::group_id& group,
+                                          const core::host_id& self)
 {
     serving::group_settings it;
     it.group = group;
--- a/apps/proxy/src/lifecycle.cpp
+++ b/apps/proxy/src/lifecycle.cpp
@@ -28,16 +28,19 @@
     return it;
 }
 
-core::result<std::monostate> start_gateway(
-    app& it, const settings::settings& of, const settings::host& host)
+core::result<std::monostate> start_gateway(app& it,
+                                           const settings::settings& of,
+                                           const settings::host& host)
 {
     gateway::gateway_handlers handlers;
     handlers.on_request =
         [&it](gateway::parsed_request what, gateway::responder respond)
-    { handle_request(it, std::move(what), std::move(respond)); };
-    auto started = gateway::start_gateway(it.io.get_executor(),
-        {host.address, host.caller_port}, to_gateway_limits(of.limits),
-        handlers);
+    {
+        handle_request(it, std::move(what), std::move(respond));
+    };
+    auto started = gateway::start_gateway(
+        it.io.get_executor(), {host.address, host.caller_port},
+        to_gateway_limits(of.limits), handlers);
     if (!ok(started))
         return std::get<core::error>(started);
     it.gateway = std::get<gateway::gateway_ptr>(started);
@@ -46,8 +49,8 @@
 
 core::result<std::monostate> start_admin(app& it, const settings::host& host)
 {
-    auto started = gateway::start_admin(it.io.get_executor(),
-        {host.address, host.admin_port},
+    auto started = gateway::start_admin(
+        it.io.get_executor(), {host.address, host.admin_port},
         [&it](std::string_view path) { return answer_admin(it, path); });
     if (!ok(started))
         return std::get<core::error>(started);
@@ -73,7 +76,8 @@
     const bool late = core::runtime_clock::now() >= it.drain_until;
     if (late || !has_work(it))
     {
-        telemetry::log_event(telemetry::log_level::info, "stopped",
+        telemetry::log_event(
+            telemetry::log_level::info, "stopped",
             {{"requests_cut", late ? gateway::requests_in_flight(it.gateway)
                                    : std::size_t(0)}});
         return it.io.stop();
@@ -96,11 +100,12 @@
     const auto host = settings->hosts.find(it.self);
     if (host == settings->hosts.end())
         return core::error{core::error_kind::invalid_settings,
-            "host " + it.self.value +
-                " is not in the settings; add a section [host." +
-                it.self.value + "] or start with another --host"};
-    auto done = listen_to_peers(
-        it, {host->second.address, host->second.peer_port});
+                           "host " + it.self.value +
+                               " is not in the settings; add a section [host." +
+                               it.self.value +
+                               "] or start with another --host"};
+    auto done =
+        listen_to_peers(it, {host->second.address, host->second.peer_port});
     if (ok(done))
         done = detail::start_gateway(it, *settings, host->second);
     if (ok(done))
@@ -109,10 +114,10 @@
         return done;
     start_membership(it);
     refresh_roles(it);
-    telemetry::log_event(telemetry::log_level::info, "serving",
+    telemetry::log_event(
+        telemetry::log_level::info, "serving",
         {{"host", it.self},
-            {"callers",
-                core::to_string(gateway::local_endpoint(it.gateway))}});
+         {"callers", core::to_string(gateway::local_endpoint(it.gateway))}});
     return std::monostate();
 }
 
@@ -122,8 +127,7 @@
         return it.io.stop();
     telemetry::log_event(telemetry::log_level::info, "draining");
     const auto settings = current_settings(it);
-    it.drain_until =
-        core::runtime_clock::now() + settings->limits.drain_limit;
+    it.drain_until = core::runtime_clock::now() + settings->limits.drain_limit;
     post(it, membership::leave_started{});
     it.drain_timer.expires_after(detail::leave_notice);
     it.drain_timer.async_wait(
--- a/apps/proxy/src/main.cpp
+++ b/apps/proxy/src/main.cpp
@@ -64,13 +64,15 @@
     boost::asio::signal_set signals(it.io, SIGTERM, SIGINT);
     await_signals(it, signals);
     int exit_code = 0;
-    proxy::start_settings(it,
+    proxy::start_settings(
+        it,
         [&it, &exit_code]
         {
             const auto started = proxy::start_serving(it);
             if (ok(started))
                 return;
-            telemetry::log_event(telemetry::log_level::error, "cannot serve",
+            telemetry::log_event(
+                telemetry::log_level::error, "cannot serve",
                 {{"reason", std::get<core::error>(started).message}});
             exit_code = exit_cannot_serve;
             it.io.stop();
--- a/apps/proxy/src/membership_runner.cpp
+++ b/apps/proxy/src/membership_runner.cpp
@@ -14,7 +14,8 @@
 {
 
 membership::host_entry to_entry(const settings::settings& of,
-    const core::host_id& id, const settings::host& host)
+                                const core::host_id& id,
+                                const settings::host& host)
 {
     membership::host_entry it;
     it.host = id;
@@ -26,8 +27,8 @@
 
 // Hosts that the settings do not name are left out: their addresses are
 // unknown.
-membership::host_list to_host_list(
-    const settings::settings& of, const platform::host_list& from)
+membership::host_list to_host_list(const settings::settings& of,
+                                   const platform::host_list& from)
 {
     membership::host_list it;
     it.version = from.version;
@@ -51,18 +52,19 @@
 
 void perform_one(app& it, const membership::read_host_list&)
 {
-    platform::list_hosts(it.store,
+    platform::list_hosts(
+        it.store,
         [&it](const core::result<platform::host_list>& list)
         {
             if (!ok(list))
             {
                 telemetry::count_store_error(*it.metrics, "list_hosts");
-                return post(it,
-                    membership::host_list_read{std::get<core::error>(list)});
+                return post(it, membership::host_list_read{
+                                    std::get<core::error>(list)});
             }
-            post(it,
-                membership::host_list_read{to_host_list(*current_settings(it),
-                    std::get<platform::host_list>(list))});
+            post(it, membership::host_list_read{
+                         to_host_list(*current_settings(it),
+                                      std::get<platform::host_list>(list))});
         });
 }
 
@@ -94,16 +96,15 @@
 void perform_one(app& it, const membership::probe_host& what)
 {
     probe_host(it, what.target,
-        [&it, what](bool reachable)
-        {
-            if (what.answer_to == it.self)
-                post(it,
-                    membership::probe_answered{
-                        it.self, what.target, reachable});
-            else
-                send_to(it, what.answer_to,
-                    peer::probe_answer{0, what.target, reachable});
-        });
+               [&it, what](bool reachable)
+               {
+                   if (what.answer_to == it.self)
+                       post(it, membership::probe_answered{it.self, what.target,
+                                                           reachable});
+                   else
+                       send_to(it, what.answer_to,
+                               peer::probe_answer{0, what.target, reachable});
+               });
 }
 
 // Takes the latest announcement: two workers may perform two changes in the
@@ -134,7 +135,8 @@
         else
             it.hosts.leaving_servers.erase(what.server);
     }
-    telemetry::log_event(telemetry::log_level::info, "backend server leaving",
+    telemetry::log_event(
+        telemetry::log_level::info, "backend server leaving",
         {{"server", what.server}, {"leaving", what.leaving ? "yes" : "no"}});
     refresh_roles(it);
 }
@@ -148,7 +150,7 @@
 {
     if (const auto group = find_group(it, what.content.group))
         learn_view(it, group, what.content.version,
-            decode_primary(what.content.content));
+                   decode_primary(what.content.content));
 }
 
 void schedule_tick(app& it, std::chrono::milliseconds interval)
@@ -172,8 +174,8 @@
     std::vector<membership::action> actions;
     {
         std::lock_guard lock(it.hosts.mutex);
-        actions = membership::decide(
-            it.hosts.membership, what, core::runtime_clock::now());
+        actions = membership::decide(it.hosts.membership, what,
+                                     core::runtime_clock::now());
     }
     for (const auto& action : actions)
         std::visit([&](const auto& n) { detail::perform_one(it, n); }, action);
@@ -195,8 +197,8 @@
     std::chrono::milliseconds interval{0};
     {
         std::lock_guard lock(it.hosts.mutex);
-        it.hosts.membership = membership::make_state(
-            self, seeds, core::runtime_clock::now());
+        it.hosts.membership =
+            membership::make_state(self, seeds, core::runtime_clock::now());
         interval = it.hosts.membership.bounds.tick_interval;
     }
     post(it, membership::tick{});
--- a/apps/proxy/src/messages_in.cpp
+++ b/apps/proxy/src/messages_in.cpp
@@ -28,8 +28,8 @@
     else
     {
         const auto& n_redirect = std::get<serving::redirect>(result);
-        it.result = peer::redirected{
-            n_redirect.reason, n_redirect.primary, n_redirect.term};
+        it.result = peer::redirected{n_redirect.reason, n_redirect.primary,
+                                     n_redirect.term};
     }
     return it;
 }
@@ -39,13 +39,11 @@
     if (auto* n = std::get_if<core::outcome>(&what.result))
         return std::move(*n);
     auto& n = std::get<peer::redirected>(what.result);
-    return serving::redirect{
-        what.id, std::move(n.reason), std::move(n.primary), n.term};
+    return serving::redirect{what.id, std::move(n.reason), std::move(n.primary),
+                             n.term};
 }
 
-void receive(const source&, const peer::hello&)
-{
-}
+void receive(const source&, const peer::hello&) {}
 
 void receive(const source& at, peer::execute what)
 {
@@ -53,19 +51,20 @@
     const auto id = what.request.id;
     if (!group)
     {
-        peer::send(at.link,
-            to_answer(id,
+        peer::send(
+            at.link,
+            to_answer(
+                id,
                 core::outcome(core::not_run{
                     {core::error_kind::unknown_group,
-                        "the settings of the server owner do not have group " +
-                            what.request.group.value +
-                            " yet; repeat the request"},
+                     "the settings of the server owner do not have group " +
+                         what.request.group.value + " yet; repeat the request"},
                     std::chrono::milliseconds(100)})));
         return;
     }
     serve(at.it, group, what.server, what.request,
-        [link = at.link, id](const served& result)
-        { peer::send(link, to_answer(id, result)); });
+          [link = at.link, id](const served& result)
+          { peer::send(link, to_answer(id, result)); });
 }
 
 void receive(const source& at, peer::answer what)
@@ -109,13 +108,13 @@
 
 void receive(const source& at, const peer::observe& what)
 {
-    observe_server(at.it, what.server,
+    observe_server(
+        at.it, what.server,
         [&it = at.it, link = at.link, what](
             bool reachable, const std::optional<core::member_status>& status)
         {
-            peer::send(link,
-                peer::observation{what.round, it.self, what.group, what.server,
-                    reachable, status});
+            peer::send(link, peer::observation{what.round, it.self, what.group,
+                                               what.server, reachable, status});
         });
 }
 
@@ -123,16 +122,17 @@
 {
     if (const auto group = find_group(at.it, what.group))
         post(at.it, group,
-            failover::event(failover::observation_received{what.round,
-                what.observer, what.server, what.reachable, what.status}));
+             failover::event(failover::observation_received{
+                 what.round, what.observer, what.server, what.reachable,
+                 what.status}));
 }
 
 void receive(const source& at, const peer::suspicion& what)
 {
     if (const auto group = find_group(at.it, what.group))
         post(at.it, group,
-            failover::event(
-                failover::suspicion_reported{what.server, what.reporter}));
+             failover::event(
+                 failover::suspicion_reported{what.server, what.reporter}));
 }
 
 void receive(const source& at, const peer::probe& what)
@@ -145,18 +145,19 @@
 {
     if (what.target)
         post(at.it,
-            membership::probe_answered{
-                at.from, *what.target, what.reachable});
+             membership::probe_answered{at.from, *what.target, what.reachable});
 }
 
 }  // namespace
 }  // namespace detail
 
 void on_message(app& it, const core::host_id& from, const peer::link_ptr& link,
-    peer::message what)
+                peer::message what)
 {
-    std::visit([&](auto& n)
-        { detail::receive({it, from, link}, std::move(n)); },
+    std::visit(
+        [&](auto& n) {
+            detail::receive({it, from, link}, std::move(n));
+        },
         what);
 }
 
--- a/apps/proxy/src/options.cpp
+++ b/apps/proxy/src/options.cpp
@@ -7,8 +7,9 @@
 DEFINE_string(host, "", "name of this host in the settings");
 DEFINE_string(platform, "", "address of the platform's service, IP:PORT");
 DEFINE_string(folder, "",
-    "folder of settings that this host publishes; empty for none");
-DEFINE_string(seeds, "",
+              "folder of settings that this host publishes; empty for none");
+DEFINE_string(
+    seeds, "",
     "peer addresses IP:PORT, separated by commas, that are asked for the "
     "settings if the platform's service is down at the start");
 DEFINE_uint32(workers, 4, "worker threads, 1 to 64");
@@ -52,15 +53,15 @@
     options it;
     if (argc > 1)
         return core::error{core::error_kind::invalid_settings,
-            std::string("\"") + argv[1] +
-                "\" is not a flag; see --help for the flags"};
+                           std::string("\"") + argv[1] +
+                               "\" is not a flag; see --help for the flags"};
     if (FLAGS_host.empty())
         return detail::bad_flag("host", "name this host as the settings do");
     it.host = {FLAGS_host};
     auto platform = core::parse_endpoint(FLAGS_platform);
     if (!ok(platform))
-        return detail::bad_flag(
-            "platform", std::get<core::error>(platform).message);
+        return detail::bad_flag("platform",
+                                std::get<core::error>(platform).message);
     it.platform = std::get<core::endpoint>(std::move(platform));
     it.folder = FLAGS_folder;
     auto seeds = detail::parse_seeds(FLAGS_seeds);
@@ -72,8 +73,8 @@
     it.workers = FLAGS_workers;
     const auto level = telemetry::parse_log_level(FLAGS_log_level);
     if (!level)
-        return detail::bad_flag(
-            "log_level", "use debug, info, warning or error");
+        return detail::bad_flag("log_level",
+                                "use debug, info, warning or error");
     it.level = *level;
     return it;
 }
--- a/apps/proxy/src/peers.cpp
+++ b/apps/proxy/src/peers.cpp
@@ -23,8 +23,8 @@
 }
 
 // Takes the requests that were handed to a host whose link is lost.
-std::vector<forwarded_request> take_forwarded(
-    app& it, const core::host_id& host)
+std::vector<forwarded_request> take_forwarded(app& it,
+                                              const core::host_id& host)
 {
     std::vector<forwarded_request> taken;
     std::lock_guard lock(it.peers.mutex);
@@ -60,8 +60,8 @@
 {
     return core::outcome(core::not_run{
         {core::error_kind::owner_unreachable,
-            "host " + host.value +
-                " did not accept the request; repeat it after the pause"},
+         "host " + host.value +
+             " did not accept the request; repeat it after the pause"},
         std::chrono::milliseconds(100)});
 }
 
@@ -76,8 +76,8 @@
         n.handler(unreachable(host));
 }
 
-void on_connected(
-    app& it, const core::host_id& host, const peer::link_ptr& link)
+void on_connected(app& it, const core::host_id& host,
+                  const peer::link_ptr& link)
 {
     peer::send(link, peer::hello{it.self, it.incarnation});
     {
@@ -110,8 +110,8 @@
 }
 
 // The first message of an accepted link names the other host.
-void on_accepted_message(
-    app& it, const peer::link_ptr& link, peer::message what)
+void on_accepted_message(app& it, const peer::link_ptr& link,
+                         peer::message what)
 {
     core::host_id from;
     {
@@ -165,8 +165,8 @@
 }
 
 void forward(app& it, const core::host_id& to, const core::server_id& server,
-    const core::request& what,
-    std::function<void(std::optional<served>)> handler)
+             const core::request& what,
+             std::function<void(std::optional<served>)> handler)
 {
     if (!detail::endpoint_of(it, to))
         return handler(detail::unreachable(to));
@@ -184,7 +184,7 @@
 }
 
 void probe_host(app& it, const core::host_id& host,
-    const std::function<void(bool)>& handler)
+                const std::function<void(bool)>& handler)
 {
     const auto to = detail::endpoint_of(it, host);
     if (!to)
--- a/apps/proxy/src/poller.cpp
+++ b/apps/proxy/src/poller.cpp
@@ -16,7 +16,9 @@
 struct poller
 {
     poller(app& a, group_ptr g, core::server_id s)
-        : it(a), group(std::move(g)), server(std::move(s)),
+        : it(a),
+          group(std::move(g)),
+          server(std::move(s)),
           pause(a.io.get_executor())
     {
     }
@@ -108,16 +110,16 @@
 }
 
 void on_status(const poller_ptr& p, const core::member_status& status,
-    core::time_point requested_at)
+               core::time_point requested_at)
 {
     p->seen = status.position;
     learn_from(p, status);
     post(p->it, p->group,
-        serving::event(
-            serving::status_received{p->server, status, requested_at}));
+         serving::event(
+             serving::status_received{p->server, status, requested_at}));
     post(p->it, p->group,
-        failover::event(
-            failover::status_received{p->server, status, requested_at}));
+         failover::event(
+             failover::status_received{p->server, status, requested_at}));
     mark_reachable(p->it, p->server, true);
     poll(p);
 }
@@ -128,14 +130,14 @@
         return backend::close(p->connection);
     const auto requested_at = core::runtime_clock::now();
     post(p->it, p->group,
-        failover::event(failover::status_requested{p->server, poll_wait}));
-    backend::read_status(p->connection, p->seen, poll_wait,
-        poll_wait + poll_grace,
+         failover::event(failover::status_requested{p->server, poll_wait}));
+    backend::read_status(
+        p->connection, p->seen, poll_wait, poll_wait + poll_grace,
         [p, requested_at](const core::result<core::member_status>& status)
         {
             if (ok(status))
-                on_status(
-                    p, std::get<core::member_status>(status), requested_at);
+                on_status(p, std::get<core::member_status>(status),
+                          requested_at);
             else
                 on_missed(p);
         });
@@ -147,8 +149,8 @@
     const auto n = settings->backend_servers.find(p->server);
     if (n == settings->backend_servers.end())
         return forget(p);
-    backend::open_connection(p->it.io.get_executor(), n->second.address,
-        open_timeout,
+    backend::open_connection(
+        p->it.io.get_executor(), n->second.address, open_timeout,
         [p](const core::result<backend::connection_ptr>& opened)
         {
             if (!ok(opened))
@@ -162,8 +164,8 @@
 }  // namespace
 }  // namespace detail
 
-void set_polling(app& it, const group_ptr& group,
-    const core::server_id& server, bool active)
+void set_polling(app& it, const group_ptr& group, const core::server_id& server,
+                 bool active)
 {
     std::shared_ptr<poller> started;
     {
--- a/apps/proxy/src/roles.cpp
+++ b/apps/proxy/src/roles.cpp
@@ -24,11 +24,12 @@
 {
     std::lock_guard lock(it.hosts.mutex);
     return {it.hosts.usable, it.hosts.without_contact,
-        it.hosts.leaving_servers};
+            it.hosts.leaving_servers};
 }
 
 std::optional<core::host_id> find_owner(const settings::settings& of,
-    const host_snapshot& hosts, const core::server_id& server)
+                                        const host_snapshot& hosts,
+                                        const core::server_id& server)
 {
     const auto n = of.backend_servers.find(server);
     if (n == of.backend_servers.end())
@@ -41,7 +42,7 @@
 }
 
 void add_unique(std::vector<core::host_id>& to, const core::host_id& host,
-    const core::host_id& self)
+                const core::host_id& self)
 {
     if (host != self && std::find(to.begin(), to.end(), host) == to.end())
         to.push_back(host);
@@ -50,8 +51,9 @@
 // The owners of the group's servers first, then all other hosts: they see the
 // group from their own data centres.
 std::vector<core::host_id> list_observers(const settings::settings& of,
-    const host_snapshot& hosts, const settings::group& group,
-    const core::host_id& self)
+                                          const host_snapshot& hosts,
+                                          const settings::group& group,
+                                          const core::host_id& self)
 {
     std::vector<core::host_id> it;
     for (const auto& n : group.members)
@@ -63,7 +65,7 @@
 }
 
 void update_group(app& it, const settings::settings& of,
-    const host_snapshot& hosts, const group_ptr& entry)
+                  const host_snapshot& hosts, const group_ptr& entry)
 {
     const auto found = of.groups.find(entry->id);
     if (found == of.groups.end())
@@ -102,15 +104,15 @@
         detail::update_group(it, *settings, hosts, n);
 }
 
-std::optional<core::host_id> owner_of_server(
-    app& it, const core::server_id& server)
+std::optional<core::host_id> owner_of_server(app& it,
+                                             const core::server_id& server)
 {
     const auto settings = current_settings(it);
     return detail::find_owner(*settings, detail::take_snapshot(it), server);
 }
 
-std::optional<core::host_id> coordinator_of_group(
-    app& it, const core::group_id& group)
+std::optional<core::host_id> coordinator_of_group(app& it,
+                                                  const core::group_id& group)
 {
     return routing::coordinator_of(group, detail::take_snapshot(it).usable);
 }
--- a/apps/proxy/src/serving_actions.cpp
+++ b/apps/proxy/src/serving_actions.cpp
@@ -18,16 +18,16 @@
     const group_ptr& group;
 };
 
-backend::connection_ptr find_connection(
-    const target& at, serving::connection_number connection)
+backend::connection_ptr find_connection(const target& at,
+                                        serving::connection_number connection)
 {
     std::lock_guard lock(at.it.connections.mutex);
     const auto n = at.it.connections.open.find({at.group->id, connection});
     return n == at.it.connections.open.end() ? nullptr : n->second;
 }
 
-backend::connection_ptr take_connection(
-    const target& at, serving::connection_number connection)
+backend::connection_ptr take_connection(const target& at,
+                                        serving::connection_number connection)
 {
     std::lock_guard lock(at.it.connections.mutex);
     const auto n = at.it.connections.open.find({at.group->id, connection});
@@ -39,15 +39,15 @@
 }
 
 void report_closed(const target& at, const core::server_id& server,
-    serving::connection_number connection)
+                   serving::connection_number connection)
 {
     post(at.it, at.group,
-        serving::event(serving::connection_closed{server, connection}));
+         serving::event(serving::connection_closed{server, connection}));
 }
 
 // Hands a new connection to the decisions unless they have given it up.
 void adopt_connection(const target& at, const serving::open_connection& what,
-    const backend::connection_ptr& opened)
+                      const backend::connection_ptr& opened)
 {
     const connection_key key{at.group->id, what.connection};
     bool wanted = false;
@@ -61,8 +61,8 @@
         backend::close(opened);
     else
         post(at.it, at.group,
-            serving::event(
-                serving::connection_opened{what.server, what.connection}));
+             serving::event(
+                 serving::connection_opened{what.server, what.connection}));
 }
 
 void perform_one(const target& at, const serving::open_connection& what)
@@ -75,10 +75,10 @@
         std::lock_guard lock(at.it.connections.mutex);
         at.it.connections.opening.insert({at.group->id, what.connection});
     }
-    backend::open_connection(at.it.io.get_executor(), n->second.address,
-        open_timeout,
-        [&it = at.it, group = at.group, what](
-            const core::result<backend::connection_ptr>& opened)
+    backend::open_connection(
+        at.it.io.get_executor(), n->second.address, open_timeout,
+        [&it = at.it, group = at.group,
+         what](const core::result<backend::connection_ptr>& opened)
         {
             const target to{it, group};
             if (ok(opened))
@@ -106,9 +106,10 @@
     const auto found = find_connection(at, what.connection);
     if (!found)
         return report_closed(at, what.server, what.connection);
-    backend::probe(found, probe_timeout,
-        [&it = at.it, group = at.group, what](
-            const core::result<std::monostate>& answer)
+    backend::probe(
+        found, probe_timeout,
+        [&it = at.it, group = at.group,
+         what](const core::result<std::monostate>& answer)
         {
             const target to{it, group};
             if (!ok(answer))
@@ -117,8 +118,8 @@
                 return report_closed(to, what.server, what.connection);
             }
             post(it, group,
-                serving::event(
-                    serving::connection_opened{what.server, what.connection}));
+                 serving::event(
+                     serving::connection_opened{what.server, what.connection}));
         });
 }
 
@@ -135,29 +136,33 @@
 }
 
 void on_executed(const target& at, const serving::send_statement& what,
-    backend::execute_result result)
+                 backend::execute_result result)
 {
     if (auto* reply = std::get_if<core::backend_reply>(&result))
         return post(at.it, at.group,
-            serving::event(
-                serving::reply_received{what.dispatch, std::move(*reply)}));
+                    serving::event(serving::reply_received{what.dispatch,
+                                                           std::move(*reply)}));
     auto& failure = std::get<backend::send_failure>(result);
     post(at.it, at.group,
-        serving::event(serving::dispatch_failed{
-            what.dispatch, failure.any_byte_sent, failure.message}));
+         serving::event(serving::dispatch_failed{
+             what.dispatch, failure.any_byte_sent, failure.message}));
 }
 
 void perform_one(const target& at, const serving::send_statement& what)
 {
     const auto found = find_connection(at, what.connection);
     if (!found)
-        return on_executed(at, what,
+        return on_executed(
+            at, what,
             backend::send_failure{
-                false, "the connection was closed; the request can be sent "
-                       "again"});
-    backend::execute(found, to_call(what), what.reply_by,
-        [&it = at.it, group = at.group, what](backend::execute_result result)
-        { on_executed({it, group}, what, std::move(result)); });
+                false,
+                "the connection was closed; the request can be sent "
+                "again"});
+    backend::execute(
+        found, to_call(what), what.reply_by,
+        [&it = at.it, group = at.group, what](backend::execute_result result) {
+            on_executed({it, group}, what, std::move(result));
+        });
 }
 
 void respond(const target& at, const core::request_id& id, served result)
@@ -191,9 +196,9 @@
 
 void perform_one(const target& at, const serving::report_suspicion& what)
 {
-    post(at.it, at.group,
-        failover::event(
-            failover::suspicion_reported{what.server, at.it.self}));
+    post(
+        at.it, at.group,
+        failover::event(failover::suspicion_reported{what.server, at.it.self}));
 }
 
 }  // namespace
@@ -201,7 +206,10 @@
 
 void perform(app& it, const group_ptr& group, const serving::action& what)
 {
-    std::visit([&](const auto& n) { detail::perform_one({it, group}, n); },
+    std::visit(
+        [&](const auto& n) {
+            detail::perform_one({it, group}, n);
+        },
         what);
 }
 
--- a/apps/proxy/src/settings_runner.cpp
+++ b/apps/proxy/src/settings_runner.cpp
@@ -18,7 +18,7 @@
 constexpr const char* row_key = "current";
 
 core::error error_of(const core::error& it, const char* operation,
-    telemetry::metrics& metrics)
+                     telemetry::metrics& metrics)
 {
     if (it.kind == core::error_kind::store_unavailable)
         telemetry::count_store_error(metrics, operation);
@@ -27,7 +27,8 @@
 
 void perform_one(app& it, const settings::read_row&)
 {
-    platform::read_row(it.store, table_name, row_key,
+    platform::read_row(
+        it.store, table_name, row_key,
         [&it](const core::result<platform::versioned_value>& read)
         {
             settings::row_read event;
@@ -54,33 +55,34 @@
 void perform_one(app& it, const settings::write_row& what)
 {
     platform::write_row(it.store, table_name, row_key,
-        settings::encode_row(what.row), what.expected_version,
-        [&it](const core::result<std::uint64_t>& version)
-        {
-            if (!ok(version))
-                error_of(std::get<core::error>(version), "write_settings_row",
-                    *it.metrics);
-            post(it, settings::row_written{version});
-        });
+                        settings::encode_row(what.row), what.expected_version,
+                        [&it](const core::result<std::uint64_t>& version)
+                        {
+                            if (!ok(version))
+                                error_of(std::get<core::error>(version),
+                                         "write_settings_row", *it.metrics);
+                            post(it, settings::row_written{version});
+                        });
 }
 
 void perform_one(app& it, const settings::put_object& what)
 {
-    platform::put_object(it.store, what.digest,
-        settings::encode_file_set(*what.files),
+    platform::put_object(
+        it.store, what.digest, settings::encode_file_set(*what.files),
         [&it](const core::result<std::monostate>& done)
         {
             settings::object_put event;
             if (!ok(done))
-                event.failure = error_of(
-                    std::get<core::error>(done), "put_settings", *it.metrics);
+                event.failure = error_of(std::get<core::error>(done),
+                                         "put_settings", *it.metrics);
             post(it, event);
         });
 }
 
 void perform_one(app& it, const settings::get_object& what)
 {
-    platform::get_object(it.store, what.digest,
+    platform::get_object(
+        it.store, what.digest,
         [&it, what](const core::result<std::string>& read)
         {
             settings::object_read event;
@@ -89,27 +91,28 @@
                 event.files =
                     settings::decode_file_set(std::get<std::string>(read));
             else
-                event.files = error_of(
-                    std::get<core::error>(read), "get_settings", *it.metrics);
+                event.files = error_of(std::get<core::error>(read),
+                                       "get_settings", *it.metrics);
             post(it, event);
         });
 }
 
 // Puts the values in effect; returns what the peers need, as a delta from the
 // generation before. The order of two changes is kept by the generation.
-std::optional<membership::settings_delta> install(
-    app& it, const settings::apply& what)
+std::optional<membership::settings_delta> install(app& it,
+                                                  const settings::apply& what)
 {
     std::lock_guard lock(it.settings.mutex);
     if (what.generation <= it.settings.generation)
         return std::nullopt;
-    const auto delta = settings::make_delta(it.settings.generation,
-        what.generation, it.settings.files, *what.files);
+    const auto delta =
+        settings::make_delta(it.settings.generation, what.generation,
+                             it.settings.files, *what.files);
     it.settings.current = what.values;
     it.settings.generation = what.generation;
     it.settings.files = *what.files;
-    return membership::settings_delta{
-        delta.from, delta.to, encode_delta(delta)};
+    return membership::settings_delta{delta.from, delta.to,
+                                      encode_delta(delta)};
 }
 
 void announce_first(app& it)
@@ -129,7 +132,8 @@
     if (!delta)
         return;
     telemetry::set_settings_generation(*it.metrics, what.generation);
-    telemetry::log_event(telemetry::log_level::info, "settings in effect",
+    telemetry::log_event(
+        telemetry::log_level::info, "settings in effect",
         {{"generation", what.generation}, {"digest", what.digest}});
     apply_group_settings(it, *what.values);
     announce_first(it);
@@ -157,7 +161,7 @@
         it.settings.last_rejection = reason;
     }
     telemetry::log_event(telemetry::log_level::error, "settings not accepted",
-        {{"reason", reason}});
+                         {{"reason", reason}});
 }
 
 void perform_one(app& it, const settings::report_rejected& what)
@@ -176,13 +180,13 @@
 void perform_one(app&, const settings::report_published& what)
 {
     telemetry::log_event(telemetry::log_level::info, "settings published",
-        {{"generation", what.generation}});
+                         {{"generation", what.generation}});
 }
 
 void perform_one(app& it, const settings::report_waiting& what)
 {
-    telemetry::log_event(telemetry::log_level::warning,
-        "settings wait for the store",
+    telemetry::log_event(
+        telemetry::log_level::warning, "settings wait for the store",
         {{"reason", what.reason.message}, {"failures", what.failures}});
     bool has_settings = false;
     {
@@ -199,9 +203,8 @@
     {
         auto files = settings::read_folder(it.settings_from.folder);
         if (ok(files))
-            post(it,
-                settings::folder_scanned{
-                    std::get<settings::file_set>(std::move(files))});
+            post(it, settings::folder_scanned{
+                         std::get<settings::file_set>(std::move(files))});
         else
             note_rejection(it, std::get<core::error>(files).message);
     }
@@ -223,8 +226,8 @@
     std::vector<settings::action> actions;
     {
         std::lock_guard lock(it.settings.mutex);
-        actions = settings::decide(
-            it.settings.publish, what, core::runtime_clock::now());
+        actions = settings::decide(it.settings.publish, what,
+                                   core::runtime_clock::now());
     }
     for (const auto& action : actions)
         std::visit([&](const auto& n) { detail::perform_one(it, n); }, action);
@@ -252,13 +255,13 @@
         if (what.generation <= it.settings.generation ||
             what.base != it.settings.generation)
             return;
-        files = settings::apply_delta(it.settings.files,
-            std::get<settings::settings_delta>(delta));
+        files = settings::apply_delta(
+            it.settings.files, std::get<settings::settings_delta>(delta));
     }
     if (ok(files))
-        post(it,
-            settings::newer_generation_learned{what.generation,
-                std::get<settings::file_set>(std::move(files))});
+        post(it, settings::newer_generation_learned{
+                     what.generation,
+                     std::get<settings::file_set>(std::move(files))});
 }
 
 void send_whole_settings(app& it, const peer::link_ptr& to)
@@ -278,8 +281,7 @@
     std::optional<settings::newer_generation_learned> event;
     {
         std::lock_guard lock(it.settings.mutex);
-        event = add_chunk(
-            it.settings.transfer, it.settings.generation, what);
+        event = add_chunk(it.settings.transfer, it.settings.generation, what);
     }
     if (event)
         post(it, *event);
--- a/apps/proxy/src/tables.hpp
+++ b/apps/proxy/src/tables.hpp
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "delta_codec.hpp"
 #include "godwitbarrow/backend/connection.hpp"
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/lock_order.hpp"
@@ -23,7 +24,6 @@
 #include "godwitbarrow/serving/decide.hpp"
 #include "godwitbarrow/settings/publish.hpp"
 #include "godwitbarrow/settings/settings.hpp"
-#include "delta_codec.hpp"
 
 /// The tables that the workers share. Each has one mutex with a place in the
 /// lock order of core/lock_order.hpp; no mutex is held across I/O.
--- a/apps/proxy/src/views.cpp
+++ b/apps/proxy/src/views.cpp
@@ -17,7 +17,8 @@
 
 core::error malformed_row()
 {
-    return {core::error_kind::protocol_error,
+    return {
+        core::error_kind::protocol_error,
         "the group row is not a record of this version; check which program "
         "writes to the table \"groups\""};
 }
@@ -44,8 +45,7 @@
 core::result<failover::group_row> decode_row(std::string_view text)
 {
     boost::json::error_code ec;
-    const auto parsed =
-        boost::json::parse({text.data(), text.size()}, ec);
+    const auto parsed = boost::json::parse({text.data(), text.size()}, ec);
     if (ec || !parsed.is_object())
         return detail::malformed_row();
     const auto& n = parsed.as_object();
@@ -75,8 +75,8 @@
 
 void refresh_view(app& it, const group_ptr& group)
 {
-    platform::read_row(it.store, std::string(group_table_name),
-        group->id.value,
+    platform::read_row(
+        it.store, std::string(group_table_name), group->id.value,
         [&it, group](const core::result<platform::versioned_value>& read)
         {
             if (!ok(read))
@@ -92,7 +92,7 @@
 }
 
 void publish_view(app& it, const group_ptr& group, core::term_number term,
-    const std::optional<core::server_id>& primary)
+                  const std::optional<core::server_id>& primary)
 {
     post(it, group, serving::event(serving::view_changed{term, primary}));
     if (primary)
--- a/apps/proxy/src/views.hpp
+++ b/apps/proxy/src/views.hpp
@@ -24,6 +24,6 @@
 
 /// Learns a view at this host and passes it to the peers.
 void publish_view(app& it, const group_ptr& group, core::term_number term,
-    const std::optional<core::server_id>& primary);
+                  const std::optional<core::server_id>& primary);
 
 }  // namespace godwitbarrow::proxy
--- a/libs/peer/include/godwitbarrow/peer/messages.hpp
+++ b/libs/peer/include/godwitbarrow/peer/messages.hpp
@@ -13,6 +13,7 @@
 #include "godwitbarrow/core/names.hpp"
 #include "godwitbarrow/core/position.hpp"
 #include "godwitbarrow/core/request.hpp"
+#include "godwitbarrow/membership/events.hpp"
 
 /// Messages between the proxy's own processes and their FlatBuffers encoding.
 namespace godwitbarrow::peer
@@ -51,16 +52,6 @@
     std::variant<core::outcome, redirected> result;
 };
 
-/// What the sender knows, so that the receiver can ask for what it lacks.
-struct summary
-{
-    std::uint64_t settings_generation = 0;
-    std::uint64_t hosts_version = 0;
-    std::uint64_t views_version = 0;
-    /// Backend servers that the sender cannot reach and does not own.
-    std::vector<core::server_id> unreachable;
-};
-
 struct settings_request
 {
     /// 0 if the sender has no settings yet.
@@ -87,44 +78,6 @@
     std::string digest;
 };
 
-enum class entry_kind
-{
-    host,
-    backend_server
-};
-
-enum class entry_state
-{
-    live,
-    leaving
-};
-
-struct host_entry
-{
-    std::string name;
-    entry_kind kind = entry_kind::host;
-    entry_state state = entry_state::live;
-};
-
-/// The host list of the platform.
-struct hosts
-{
-    std::uint64_t version = 0;
-    std::vector<host_entry> entries;
-};
-
-struct group_view
-{
-    core::group_id group;
-    core::term_number term = 0;
-    std::optional<core::server_id> primary;
-};
-
-struct group_views
-{
-    std::vector<group_view> views;
-};
-
 /// Asks the receiver to try `server` on a new connection.
 struct observe
 {
@@ -152,12 +105,6 @@
     core::host_id reporter;
 };
 
-/// The host shuts down; owner choice leaves it out.
-struct leaving
-{
-    core::host_id host;
-};
-
 /// Asks for a `probe_answer`. With a target, the receiver probes that host
 /// first and answers whether it replied.
 struct probe
@@ -174,10 +121,10 @@
     bool reachable = true;
 };
 
-using message =
-    std::variant<hello, execute, answer, summary, settings_request,
-                 settings_delta, hosts, group_views, observe, observation,
-                 suspicion, leaving, probe, probe_answer>;
+using message = std::variant<hello, execute, answer, membership::summary,
+                             membership::news_request, membership::news,
+                             settings_request, settings_delta, observe,
+                             observation, suspicion, probe, probe_answer>;
 
 /// `now` turns the deadline of a request into remaining time.
 std::vector<std::uint8_t> encode(
--- a/libs/peer/src/decode.cpp
+++ b/libs/peer/src/decode.cpp
@@ -1,5 +1,5 @@
-#include "godwitbarrow/peer/generated/peer_generated.h"
-#include "godwitbarrow/peer/messages.hpp"
+#include "decode_membership.hpp"
+#include "reader.hpp"
 #include "wire_limits.hpp"
 
 namespace godwitbarrow::peer
@@ -9,50 +9,6 @@
 namespace
 {
 
-/// Reads verified tables. The first fault is kept, and the values read after
-/// it are meaningless.
-struct reader
-{
-    /// Text that may still be copied. Offsets can share a string, so that a
-    /// small frame could otherwise expand to gigabytes.
-    std::size_t text_budget = 0;
-    core::time_point now;
-    const char* fault = nullptr;
-};
-
-void fail(reader& in, const char* what)
-{
-    if (!in.fault)
-        in.fault = what;
-}
-
-std::string get(reader& in, const flatbuffers::String* it)
-{
-    if (!it)
-        return {};
-    if (it->size() > in.text_budget)
-    {
-        fail(in, "strings are longer than the message");
-        return {};
-    }
-    in.text_budget -= it->size();
-    return it->str();
-}
-
-template <class Name>
-Name get_name(reader& in, const flatbuffers::String* it)
-{
-    return Name{get(in, it)};
-}
-
-template <class Name>
-std::optional<Name> get_optional(reader& in, const flatbuffers::String* it)
-{
-    if (!it)
-        return std::nullopt;
-    return Name{get(in, it)};
-}
-
 template <class Enum, class Wire>
 Enum get_enum(reader& in, Wire it, Wire last)
 {
@@ -83,30 +39,6 @@
     return {core::parse_error_kind(kind), get(in, it.message())};
 }
 
-/// Calls `each` for every element until the first fault.
-template <class Vector, class Each>
-void for_each(reader& in, const Vector* items, Each each)
-{
-    if (!items)
-        return;
-    for (const auto* it : *items)
-    {
-        each(it);
-        if (in.fault)
-            return;
-    }
-}
-
-using text_vector =
-    flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
-
-std::vector<std::string> get(reader& in, const text_vector* items)
-{
-    std::vector<std::string> all;
-    for_each(in, items, [&](auto* it) { all.push_back(get(in, it)); });
-    return all;
-}
-
 hello get(reader& in, const wire::hello& it)
 {
     return {get_name<core::host_id>(in, it.host()), it.incarnation()};
@@ -174,13 +106,19 @@
     return out;
 }
 
-summary get(reader& in, const wire::summary& it)
+membership::summary get(reader& in, const wire::summary& it)
 {
-    summary out{
-        it.settings_generation(), it.hosts_version(), it.views_version(), {}};
-    for (auto& name : get(in, it.unreachable()))
-        out.unreachable.push_back({std::move(name)});
-    return out;
+    return get_summary(in, it);
+}
+
+membership::news_request get(reader& in, const wire::news_request& it)
+{
+    return get_request(in, it);
+}
+
+membership::news get(reader& in, const wire::news& it)
+{
+    return get_news(in, it);
 }
 
 settings_request get(reader&, const wire::settings_request& it)
@@ -209,35 +147,6 @@
     return out;
 }
 
-hosts get(reader& in, const wire::hosts& it)
-{
-    hosts out{it.version(), {}};
-    const auto add = [&](const wire::host_entry* x)
-    {
-        out.entries.push_back(
-            {get(in, x->name()),
-             get_enum<entry_kind>(in, x->kind(),
-                                  wire::entry_kind::entry_kind_MAX),
-             get_enum<entry_state>(in, x->state(),
-                                   wire::entry_state::entry_state_MAX)});
-    };
-    for_each(in, it.entries(), add);
-    return out;
-}
-
-group_views get(reader& in, const wire::group_views& it)
-{
-    group_views out;
-    const auto add = [&](const wire::group_view* x)
-    {
-        out.views.push_back({get_name<core::group_id>(in, x->group()),
-                             x->term(),
-                             get_optional<core::server_id>(in, x->primary())});
-    };
-    for_each(in, it.views(), add);
-    return out;
-}
-
 observe get(reader& in, const wire::observe& it)
 {
     return {it.round(), get_name<core::group_id>(in, it.group()),
@@ -268,11 +177,6 @@
             get_name<core::host_id>(in, it.reporter())};
 }
 
-leaving get(reader& in, const wire::leaving& it)
-{
-    return {get_name<core::host_id>(in, it.host())};
-}
-
 probe get(reader& in, const wire::probe& it)
 {
     return {it.nonce(), get_optional<core::host_id>(in, it.target())};
@@ -302,22 +206,20 @@
             return get_as<wire::answer>(in, it);
         case wire::body::body_summary:
             return get_as<wire::summary>(in, it);
+        case wire::body::body_news_request:
+            return get_as<wire::news_request>(in, it);
+        case wire::body::body_news:
+            return get_as<wire::news>(in, it);
         case wire::body::body_settings_request:
             return get_as<wire::settings_request>(in, it);
         case wire::body::body_settings_delta:
             return get_as<wire::settings_delta>(in, it);
-        case wire::body::body_hosts:
-            return get_as<wire::hosts>(in, it);
-        case wire::body::body_group_views:
-            return get_as<wire::group_views>(in, it);
         case wire::body::body_observe:
             return get_as<wire::observe>(in, it);
         case wire::body::body_observation:
             return get_as<wire::observation>(in, it);
         case wire::body::body_suspicion:
             return get_as<wire::suspicion>(in, it);
-        case wire::body::body_leaving:
-            return get_as<wire::leaving>(in, it);
         case wire::body::body_probe:
             return get_as<wire::probe>(in, it);
         case wire::body::body_probe_answer:
--- a/libs/peer/src/encode.cpp
+++ b/libs/peer/src/encode.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 
-#include "godwitbarrow/peer/generated/peer_generated.h"
-#include "godwitbarrow/peer/messages.hpp"
+#include "builder.hpp"
+#include "encode_membership.hpp"
 #include "wire_limits.hpp"
 
 namespace godwitbarrow::peer
@@ -11,11 +11,6 @@
 namespace
 {
 
-using builder = flatbuffers::FlatBufferBuilder;
-using text = flatbuffers::Offset<flatbuffers::String>;
-template <class T>
-using list = flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<T>>>;
-
 constexpr std::size_t initial_bytes = 1024;
 
 /// A union member with its type.
@@ -28,40 +23,6 @@
 using chosen_body = chosen<wire::body>;
 using chosen_result = chosen<wire::answer_result>;
 
-template <class Tag>
-text put(builder& to, const core::name<Tag>& it)
-{
-    return to.CreateString(it.value);
-}
-
-text put(builder& to, const std::string& it)
-{
-    return to.CreateString(it);
-}
-
-/// Offset 0 leaves the field out.
-template <class T>
-text put(builder& to, const std::optional<T>& it)
-{
-    return it ? put(to, *it) : text();
-}
-
-flatbuffers::Offset<wire::error> put(builder& to, const core::error& it)
-{
-    const auto kind = to.CreateString(std::string(core::to_string(it.kind)));
-    return wire::Createerror(to, kind, put(to, it.message));
-}
-
-template <class T>
-list<flatbuffers::String> put(builder& to, const std::vector<T>& items)
-{
-    std::vector<text> offsets;
-    offsets.reserve(items.size());
-    for (const auto& it : items)
-        offsets.push_back(put(to, it));
-    return to.CreateVector(offsets);
-}
-
 wire::log_position convert(const core::log_position& it)
 {
     return {it.term, it.position};
@@ -159,15 +120,6 @@
             wire::Createanswer(to, id, result.type, result.value).Union()};
 }
 
-chosen_body put_body(builder& to, const summary& it, core::time_point)
-{
-    const auto unreachable = put(to, it.unreachable);
-    const auto made =
-        wire::Createsummary(to, it.settings_generation, it.hosts_version,
-                            it.views_version, unreachable);
-    return {wire::body::body_summary, made.Union()};
-}
-
 chosen_body put_body(builder& to, const settings_request& it, core::time_point)
 {
     return {wire::body::body_settings_request,
@@ -193,36 +145,21 @@
     return {wire::body::body_settings_delta, made.Union()};
 }
 
-chosen_body put_body(builder& to, const hosts& it, core::time_point)
+chosen_body put_body(builder& to, const membership::summary& it,
+                     core::time_point)
 {
-    std::vector<flatbuffers::Offset<wire::host_entry>> offsets;
-    offsets.reserve(it.entries.size());
-    for (const auto& entry : it.entries)
-    {
-        const auto name = put(to, entry.name);
-        offsets.push_back(wire::Createhost_entry(
-            to, name, static_cast<wire::entry_kind>(entry.kind),
-            static_cast<wire::entry_state>(entry.state)));
-    }
-    const auto entries = to.CreateVector(offsets);
-    return {wire::body::body_hosts,
-            wire::Createhosts(to, it.version, entries).Union()};
+    return {wire::body::body_summary, put_summary(to, it).Union()};
 }
 
-chosen_body put_body(builder& to, const group_views& it, core::time_point)
+chosen_body put_body(builder& to, const membership::news_request& it,
+                     core::time_point)
 {
-    std::vector<flatbuffers::Offset<wire::group_view>> offsets;
-    offsets.reserve(it.views.size());
-    for (const auto& view : it.views)
-    {
-        const auto group = put(to, view.group);
-        const auto primary = put(to, view.primary);
-        offsets.push_back(
-            wire::Creategroup_view(to, group, view.term, primary));
-    }
-    const auto views = to.CreateVector(offsets);
-    return {wire::body::body_group_views,
-            wire::Creategroup_views(to, views).Union()};
+    return {wire::body::body_news_request, put_request(to, it).Union()};
+}
+
+chosen_body put_body(builder& to, const membership::news& it, core::time_point)
+{
+    return {wire::body::body_news, put_news(to, it).Union()};
 }
 
 chosen_body put_body(builder& to, const observe& it, core::time_point)
@@ -257,12 +194,6 @@
             wire::Createsuspicion(to, group, server, reporter).Union()};
 }
 
-chosen_body put_body(builder& to, const leaving& it, core::time_point)
-{
-    const auto host = put(to, it.host);
-    return {wire::body::body_leaving, wire::Createleaving(to, host).Union()};
-}
-
 chosen_body put_body(builder& to, const probe& it, core::time_point)
 {
     const auto target = put(to, it.target);
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -44,6 +44,32 @@
     return std::get<core::outcome>(it.result);
 }
 
+membership::summary full_summary()
+{
+    return {1, 2, 3, 4, {{"s1"}, {"s2"}}, true};
+}
+
+membership::news_request full_news_request()
+{
+    membership::news_request it{1, 2, 3, 4, {}, {}};
+    it.views[5] = 6;
+    it.reports[7] = 8;
+    return it;
+}
+
+membership::news full_news()
+{
+    const membership::host_entry host{
+        {"h"}, {"dc"}, {"region"}, {"127.0.0.1", 70}, true};
+    membership::news it;
+    it.settings = {{1, 2, "delta"}};
+    it.hosts = {{1, 2, {host}, {{"removed"}}, {{"s1"}}}};
+    it.chunks = {{3, 0, 2, {host}, {{"s2"}}}};
+    it.views = {{{"g"}, 6, "s"}};
+    it.reports = {{{"h"}, 9, true, true, {{"s3"}}}};
+    return it;
+}
+
 /// One message of each kind, with every optional field set.
 std::vector<message> one_of_each()
 {
@@ -52,15 +78,14 @@
         execute{full_request(), {"s"}, {}},
         answer{{"r"}, core::outcome(core::completed{{"x"}, {"s"}, {1, 2}, {}})},
         answer{{"r"}, redirected{{core::error_kind::no_primary, "m"}, {}, 3}},
-        summary{1, 2, 3, {{"s1"}, {"s2"}}},
+        full_summary(),
+        full_news_request(),
+        full_news(),
         settings_request{4},
         settings_delta{1, 2, 0, 1, {{"a.ini", "x=1"}}, {"b.ini"}, "d"},
-        hosts{5, {{"h", entry_kind::host, entry_state::leaving}}},
-        group_views{{{{"g"}, 6, core::server_id{"s"}}, {{"f"}, 7, {}}}},
         observe{1, {"g"}, {"s"}},
         observation{1, {"h"}, {"g"}, {"s"}, true, core::member_status{}},
         suspicion{{"g"}, {"s"}, {"h"}},
-        leaving{{"h"}},
         probe{3, core::host_id{"t"}},
         probe_answer{3, core::host_id{"t"}, false},
     };
@@ -214,20 +239,36 @@
 
 BOOST_AUTO_TEST_CASE(the_other_lists_keep_their_entries)
 {
-    const auto seen = round_trip(summary{1, 2, 3, {{"s1"}, {"s2"}}});
+    const auto seen = round_trip(full_summary());
     BOOST_TEST(seen.settings_generation == 1U);
     BOOST_TEST(seen.hosts_version == 2U);
-    BOOST_TEST(seen.views_version == 3U);
+    BOOST_TEST(seen.views_digest == 3U);
+    BOOST_TEST(seen.reports_digest == 4U);
     BOOST_TEST(seen.unreachable.at(1).value == "s2");
-    const auto list = round_trip(
-        hosts{5, {{"b", entry_kind::backend_server, entry_state::leaving}}});
-    BOOST_TEST(list.version == 5U);
-    BOOST_TEST((list.entries.at(0).kind == entry_kind::backend_server));
-    BOOST_TEST((list.entries.at(0).state == entry_state::leaving));
-    const auto views =
-        round_trip(group_views{{{{"g"}, 6, core::server_id{"s"}}}});
-    BOOST_TEST(views.views.at(0).term == 6U);
-    BOOST_TEST((views.views.at(0).primary == core::server_id{"s"}));
+    BOOST_TEST(seen.reply);
+    const auto wanted = round_trip(full_news_request());
+    BOOST_TEST((wanted.views == full_news_request().views));
+    BOOST_TEST((wanted.reports == full_news_request().reports));
+    BOOST_TEST(wanted.chunk_version == 3U);
+    BOOST_TEST(wanted.chunk_index == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(the_news_keep_their_entries)
+{
+    const auto want = full_news();
+    const auto got = round_trip(want);
+    BOOST_TEST(got.settings.at(0).content == "delta");
+    BOOST_TEST((got.hosts.at(0).changed == want.hosts.at(0).changed));
+    BOOST_TEST(got.hosts.at(0).removed.at(0).value == "removed");
+    BOOST_TEST(got.hosts.at(0).leaving_servers.at(0).value == "s1");
+    BOOST_TEST((got.chunks.at(0).hosts == want.chunks.at(0).hosts));
+    BOOST_TEST(got.chunks.at(0).count == 2U);
+    BOOST_TEST(got.views.at(0).version == 6U);
+    BOOST_TEST(got.views.at(0).content == "s");
+    BOOST_TEST(got.reports.at(0).version == 9U);
+    BOOST_TEST(got.reports.at(0).suspected);
+    BOOST_TEST(got.reports.at(0).leaving);
+    BOOST_TEST(got.reports.at(0).unreachable.at(0).value == "s3");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/platform/include/godwitbarrow/platform/client.hpp
+++ b/libs/platform/include/godwitbarrow/platform/client.hpp
@@ -63,8 +63,7 @@
 void get_object(const client_ptr& it, const std::string& digest,
                 std::function<void(core::result<std::string>)> handler);
 
-void list_hosts(
-    const client_ptr& it,
-    std::function<void(core::result<std::vector<host_entry>>)> handler);
+void list_hosts(const client_ptr& it,
+                std::function<void(core::result<host_list>)> handler);
 
 }  // namespace godwitbarrow::platform
--- a/libs/platform/include/godwitbarrow/platform/codec.hpp
+++ b/libs/platform/include/godwitbarrow/platform/codec.hpp
@@ -26,7 +26,6 @@
 core::result<std::uint64_t> decode_version(unsigned code,
                                            std::string_view body);
 core::result<std::string> decode_object(unsigned code, std::string body);
-core::result<std::vector<host_entry>> decode_hosts(unsigned code,
-                                                   std::string_view body);
+core::result<host_list> decode_hosts(unsigned code, std::string_view body);
 
 }  // namespace godwitbarrow::platform
--- a/libs/platform/include/godwitbarrow/platform/records.hpp
+++ b/libs/platform/include/godwitbarrow/platform/records.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// What the platform's service stores and reports.
 namespace godwitbarrow::platform
@@ -34,4 +35,11 @@
     host_state state = host_state::live;
 };
 
+/// The platform's host list. A change of the list raises its version.
+struct host_list
+{
+    std::uint64_t version = 0;
+    std::vector<host_entry> entries;
+};
+
 }  // namespace godwitbarrow::platform
--- a/libs/platform/src/client.cpp
+++ b/libs/platform/src/client.cpp
@@ -241,13 +241,12 @@
         detail::decoding<std::string>(decode_object, std::move(handler)));
 }
 
-void list_hosts(
-    const client_ptr& it,
-    std::function<void(core::result<std::vector<host_entry>>)> handler)
+void list_hosts(const client_ptr& it,
+                std::function<void(core::result<host_list>)> handler)
 {
-    detail::submit(it, {http::method::get, "/hosts", {}},
-                   detail::decoding<std::vector<host_entry>>(
-                       decode_hosts, std::move(handler)));
+    detail::submit(
+        it, {http::method::get, "/hosts", {}},
+        detail::decoding<host_list>(decode_hosts, std::move(handler)));
 }
 
 }  // namespace godwitbarrow::platform
--- a/libs/platform/src/codec.cpp
+++ b/libs/platform/src/codec.cpp
@@ -122,14 +122,15 @@
     throw std::invalid_argument("unknown state of a host");
 }
 
-std::vector<host_entry> read_hosts(const json::object& o)
+host_list read_hosts(const json::object& o)
 {
-    std::vector<host_entry> all;
+    host_list all;
+    all.version = version_of(o);
     for (const auto& v : o.at("hosts").as_array())
     {
         const auto& h = v.as_object();
-        all.push_back({text(h, "name"), parse_kind(text(h, "kind")),
-                       parse_state(text(h, "state"))});
+        all.entries.push_back({text(h, "name"), parse_kind(text(h, "kind")),
+                               parse_state(text(h, "state"))});
     }
     return all;
 }
@@ -178,11 +179,9 @@
     return body;
 }
 
-core::result<std::vector<host_entry>> decode_hosts(unsigned code,
-                                                   std::string_view body)
+core::result<host_list> decode_hosts(unsigned code, std::string_view body)
 {
-    return detail::decode<std::vector<host_entry>>(code, body,
-                                                   detail::read_hosts);
+    return detail::decode<host_list>(code, body, detail::read_hosts);
 }
 
 }  // namespace godwitbarrow::platform
--- a/libs/platform/test/codec_test.cpp
+++ b/libs/platform/test/codec_test.cpp
@@ -45,10 +45,11 @@
 
 BOOST_AUTO_TEST_CASE(a_host_list_has_kinds_and_states)
 {
-    const auto r =
-        decode_hosts(200, R"({"hosts":[{"name":"d","state":"leaving",)"
-                          R"("kind":"backend_server"}]})");
-    const auto& h = std::get<std::vector<host_entry>>(r).at(0);
+    const auto r = decode_hosts(
+        200, R"({"version":3,"hosts":[{"name":"d","state":"leaving",)"
+             R"("kind":"backend_server"}]})");
+    BOOST_TEST(std::get<host_list>(r).version == 3U);
+    const auto& h = std::get<host_list>(r).entries.at(0);
     BOOST_TEST(h.name == "d");
     BOOST_TEST((h.kind == host_kind::backend_server));
     BOOST_TEST((h.state == host_state::leaving));
@@ -75,7 +76,8 @@
           R"({"value":"v","version":-1})", R"({"value":"v","version":"1"})"})
         BOOST_TEST(
             (kind_of(decode_row(200, body)) == error_kind::protocol_error));
-    const auto* hosts = R"({"hosts":[{"name":"h","kind":"x","state":"live"}]})";
+    const auto* hosts =
+        R"({"version":1,"hosts":[{"name":"h","kind":"x","state":"live"}]})";
     BOOST_TEST(
         (kind_of(decode_hosts(200, hosts)) == error_kind::protocol_error));
 }
--- a/test/scenarios/src/client.cpp
+++ b/test/scenarios/src/client.cpp
@@ -25,8 +25,8 @@
     return name == "max_age_ms" || name == "deadline_ms";
 }
 
-json::object make_body(
-    const session& of, const std::map<std::string, std::string>& options)
+json::object make_body(const session& of,
+                       const std::map<std::string, std::string>& options)
 {
     json::object body;
     for (const auto& [name, value] : options)
@@ -66,11 +66,11 @@
         return default_deadline + answer_grace;
     return std::chrono::milliseconds(
                std::strtoll(n->second.c_str(), nullptr, 10)) +
-        answer_grace;
+           answer_grace;
 }
 
 void update_session(session& of, const answer_fields& it,
-    const std::map<std::string, std::string>& options)
+                    const std::map<std::string, std::string>& options)
 {
     const auto token = it.find("token");
     if (token != it.end() && !token->second.empty())
@@ -89,12 +89,14 @@
 }  // namespace detail
 
 answer_fields send_request(const cluster& to, const core::host_id& via,
-    session& of, const std::map<std::string, std::string>& options)
+                           session& of,
+                           const std::map<std::string, std::string>& options)
 {
     const auto started = std::chrono::steady_clock::now();
     const auto body = detail::make_body(of, options);
-    const auto got = call_json(caller_endpoint(to, via), "POST", "/v1/execute",
-        boost::json::serialize(body), detail::time_limit(options));
+    const auto got =
+        call_json(caller_endpoint(to, via), "POST", "/v1/execute",
+                  boost::json::serialize(body), detail::time_limit(options));
     answer_fields it;
     if (ok(got))
         for (const auto& n : std::get<boost::json::object>(got))
@@ -107,8 +109,7 @@
     }
     const auto elapsed = std::chrono::steady_clock::now() - started;
     it["elapsed_ms"] = std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(elapsed)
-            .count());
+        std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
     detail::update_session(of, it, options);
     return it;
 }
--- a/test/scenarios/src/cluster.hpp
+++ b/test/scenarios/src/cluster.hpp
@@ -45,8 +45,8 @@
 core::result<cluster> make_cluster(const cluster_options& options);
 
 core::result<std::monostate> start_platform(cluster& it);
-core::result<std::monostate> start_server(
-    cluster& it, const core::server_id& server);
+core::result<std::monostate> start_server(cluster& it,
+                                          const core::server_id& server);
 /// The first host of the settings publishes the folder.
 core::result<std::monostate> start_host(cluster& it, const core::host_id& host);
 
@@ -54,8 +54,8 @@
 core::result<std::monostate> start_all(cluster& it);
 
 /// Waits until the host is healthy and knows a primary of each group.
-core::result<std::monostate> wait_until_ready(
-    const cluster& it, const core::host_id& host);
+core::result<std::monostate> wait_until_ready(const cluster& it,
+                                              const core::host_id& host);
 
 /// Folder that the first host watches.
 std::string published_folder(const cluster& it);
@@ -66,12 +66,13 @@
 /// Sets the state of an entry of the platform's host list: live, leaving, or
 /// absent.
 core::result<std::monostate> set_host_state(cluster& it,
-    const std::string& name, const std::string& kind,
-    const std::string& state);
+                                            const std::string& name,
+                                            const std::string& kind,
+                                            const std::string& state);
 
 /// Sends the JSON text to a fault route.
-core::result<std::monostate> set_faults(
-    const core::endpoint& to, const std::string& faults);
+core::result<std::monostate> set_faults(const core::endpoint& to,
+                                        const std::string& faults);
 
 void end_all(cluster& it);
 
--- a/test/scenarios/src/execute.cpp
+++ b/test/scenarios/src/execute.cpp
@@ -17,8 +17,8 @@
 
 using failures = std::vector<std::string>;
 
-std::string option(
-    const step& of, const std::string& name, const std::string& fallback = "")
+std::string option(const step& of, const std::string& name,
+                   const std::string& fallback = "")
 {
     const auto n = of.options.find(name);
     return n == of.options.end() ? fallback : n->second;
@@ -41,8 +41,9 @@
     return failure(at, std::get<core::error>(done).message);
 }
 
-std::chrono::milliseconds duration_option(
-    const step& of, const std::string& name, std::chrono::milliseconds fallback)
+std::chrono::milliseconds duration_option(const step& of,
+                                          const std::string& name,
+                                          std::chrono::milliseconds fallback)
 {
     const auto n = of.options.find(name);
     if (n == of.options.end())
@@ -85,9 +86,10 @@
 // A host that fails leaves the host list after the platform has noticed.
 failures remove_step(run_state& it, const step& of)
 {
-    return to_failures(of,
-        set_host_state(it.processes, word(of, 1),
-            word(of, 0) == "server" ? "backend_server" : "host", "absent"));
+    return to_failures(
+        of, set_host_state(it.processes, word(of, 1),
+                           word(of, 0) == "server" ? "backend_server" : "host",
+                           "absent"));
 }
 
 failures terminate_step(run_state& it, const step& of)
@@ -113,8 +115,9 @@
         return to_failures(of, start_server(it.processes, {word(of, 1)}));
     if (kind == "host")
         return to_failures(of, start_host(it.processes, {word(of, 1)}));
-    return failure(of, "start what? Write start, start server NAME or "
-                       "start host NAME");
+    return failure(of,
+                   "start what? Write start, start server NAME or "
+                   "start host NAME");
 }
 
 failures ready_step(run_state& it, const step& of)
@@ -137,10 +140,10 @@
 
 failures list_step(run_state& it, const step& of)
 {
-    return to_failures(of,
-        set_host_state(it.processes, word(of, 1),
-            word(of, 0) == "server" ? "backend_server" : "host",
-            option(of, "state", "live")));
+    return to_failures(
+        of, set_host_state(it.processes, word(of, 1),
+                           word(of, 0) == "server" ? "backend_server" : "host",
+                           option(of, "state", "live")));
 }
 
 failures write_file_step(run_state& it, const step& of)
@@ -152,8 +155,7 @@
 
 failures remove_file_step(run_state& it, const step& of)
 {
-    std::filesystem::remove(
-        published_folder(it.processes) + "/" + word(of, 0));
+    std::filesystem::remove(published_folder(it.processes) + "/" + word(of, 0));
     return {};
 }
 
@@ -163,7 +165,7 @@
         return;
     std::printf("%s\n", of.text.c_str());
     for (const auto* name : {"outcome", "rows", "server", "term", "position",
-             "elapsed_ms", "error", "message"})
+                             "elapsed_ms", "error", "message"})
         if (n.count(name) > 0)
             std::printf("    %s: %s\n", name, n.at(name).c_str());
 }
@@ -178,8 +180,9 @@
         const bool negated = !value.empty() && value.front() == '!';
         const bool equal = text == (negated ? value.substr(1) : value);
         if (equal == negated)
-            found.push_back("line " + std::to_string(of.line) + ": " + name +
-                " is " + text + ", expected " + value + "; " +
+            found.push_back(
+                "line " + std::to_string(of.line) + ": " + name + " is " +
+                text + ", expected " + value + "; " +
                 (got.count("message") > 0 ? got.at("message") : ""));
     }
     return found;
@@ -207,11 +210,11 @@
     const bool print = it.print;
     it.print = false;
     wait_until(limit,
-        [&]
-        {
-            last = request_step(it, of);
-            return last.empty();
-        });
+               [&]
+               {
+                   last = request_step(it, of);
+                   return last.empty();
+               });
     it.print = print;
     if (last.empty())
         return request_step(it, of);
@@ -223,11 +226,12 @@
     failures last;
     const auto limit =
         duration_option(of, "within", std::chrono::milliseconds(10000));
-    wait_until(limit,
+    wait_until(
+        limit,
         [&]
         {
-            last = compare(of,
-                read_admin(it.processes, {option(of, "via")}, word(of, 0)));
+            last = compare(
+                of, read_admin(it.processes, {option(of, "via")}, word(of, 0)));
             return last.empty();
         });
     return last;
@@ -238,7 +242,7 @@
     auto found = verify(it.writes, it.processes);
     if (it.print)
         std::printf("verify: %zu writes, %zu violations\n",
-            it.writes.writes.size(), found.size());
+                    it.writes.writes.size(), found.size());
     return found;
 }
 
@@ -281,19 +285,33 @@
 const std::map<std::string, step_function>& step_functions()
 {
     static const std::map<std::string, step_function> all{
-        {"start", start_step}, {"ready", ready_step}, {"kill", kill_step},
+        {"start", start_step},
+        {"ready", ready_step},
+        {"kill", kill_step},
         {"pause",
-            [](run_state& it, const step& n)
-            { return signal_step(it, n, SIGSTOP); }},
+         [](run_state& it, const step& n)
+         {
+             return signal_step(it, n, SIGSTOP);
+         }},
         {"resume",
-            [](run_state& it, const step& n)
-            { return signal_step(it, n, SIGCONT); }},
-        {"terminate", terminate_step}, {"remove", remove_step},
-        {"list", list_step}, {"faults", faults_step},
-        {"write_file", write_file_step}, {"remove_file", remove_file_step},
-        {"request", request_step}, {"eventually", eventually_step},
-        {"admin", admin_step}, {"verify", verify_step}, {"wait", wait_step},
-        {"say", say_step}, {"load", load_step}, {"join", join_step}};
+         [](run_state& it, const step& n)
+         {
+             return signal_step(it, n, SIGCONT);
+         }},
+        {"terminate", terminate_step},
+        {"remove", remove_step},
+        {"list", list_step},
+        {"faults", faults_step},
+        {"write_file", write_file_step},
+        {"remove_file", remove_file_step},
+        {"request", request_step},
+        {"eventually", eventually_step},
+        {"admin", admin_step},
+        {"verify", verify_step},
+        {"wait", wait_step},
+        {"say", say_step},
+        {"load", load_step},
+        {"join", join_step}};
     return all;
 }
 
--- a/test/scenarios/src/http.cpp
+++ b/test/scenarios/src/http.cpp
@@ -34,33 +34,34 @@
 void read_response(exchange& it)
 {
     http::async_read(it.stream, it.buf, it.response,
-        [&it](beast::error_code ec, std::size_t) { finish(it, ec); });
+                     [&it](beast::error_code ec, std::size_t)
+                     { finish(it, ec); });
 }
 
 void write_request(exchange& it)
 {
     http::async_write(it.stream, it.request,
-        [&it](beast::error_code ec, std::size_t)
-        {
-            if (ec)
-                finish(it, ec);
-            else
-                read_response(it);
-        });
+                      [&it](beast::error_code ec, std::size_t)
+                      {
+                          if (ec)
+                              finish(it, ec);
+                          else
+                              read_response(it);
+                      });
 }
 
 void run(exchange& it, const asio::ip::tcp::endpoint& to,
-    std::chrono::milliseconds timeout)
+         std::chrono::milliseconds timeout)
 {
     it.stream.expires_after(timeout);
     it.stream.async_connect(to,
-        [&it](beast::error_code ec)
-        {
-            if (ec)
-                finish(it, ec);
-            else
-                write_request(it);
-        });
+                            [&it](beast::error_code ec)
+                            {
+                                if (ec)
+                                    finish(it, ec);
+                                else
+                                    write_request(it);
+                            });
     it.io.run();
 }
 
@@ -68,7 +69,8 @@
 }  // namespace detail
 
 core::result<http_response> call(const core::endpoint& to, std::string method,
-    std::string target, std::string body, std::chrono::milliseconds timeout)
+                                 std::string target, std::string body,
+                                 std::chrono::milliseconds timeout)
 {
     detail::exchange it;
     it.request.method_string(method);
@@ -79,27 +81,30 @@
     it.request.set("Content-Type", "application/json");
     it.request.body() = std::move(body);
     it.request.prepare_payload();
-    detail::run(
-        it, {boost::asio::ip::make_address(to.address), to.port}, timeout);
+    detail::run(it, {boost::asio::ip::make_address(to.address), to.port},
+                timeout);
     if (it.ec)
         return core::error{core::error_kind::connection_lost,
-            core::to_string(to) + ": " + it.ec.message() +
-                "; check that the process runs"};
+                           core::to_string(to) + ": " + it.ec.message() +
+                               "; check that the process runs"};
     return http_response{it.response.result_int(), it.response.body()};
 }
 
 core::result<boost::json::object> call_json(const core::endpoint& to,
-    std::string method, std::string target, std::string body,
-    std::chrono::milliseconds timeout)
+                                            std::string method,
+                                            std::string target,
+                                            std::string body,
+                                            std::chrono::milliseconds timeout)
 {
     auto it = call(to, std::move(method), std::move(target), std::move(body),
-        timeout);
+                   timeout);
     if (!ok(it))
         return std::get<core::error>(it);
     boost::json::error_code ec;
     auto parsed = boost::json::parse(std::get<http_response>(it).body, ec);
     if (ec || !parsed.is_object())
-        return core::error{core::error_kind::protocol_error,
+        return core::error{
+            core::error_kind::protocol_error,
             core::to_string(to) + ": the body is not a JSON object"};
     return parsed.as_object();
 }
--- a/test/scenarios/src/http.hpp
+++ b/test/scenarios/src/http.hpp
@@ -22,11 +22,14 @@
 /// Sends one request on a new connection and waits for the response, at most
 /// `timeout`.
 core::result<http_response> call(const core::endpoint& to, std::string method,
-    std::string target, std::string body, std::chrono::milliseconds timeout);
+                                 std::string target, std::string body,
+                                 std::chrono::milliseconds timeout);
 
 /// The same for JSON; a body that is not a JSON object is an error.
 core::result<boost::json::object> call_json(const core::endpoint& to,
-    std::string method, std::string target, std::string body,
-    std::chrono::milliseconds timeout);
+                                            std::string method,
+                                            std::string target,
+                                            std::string body,
+                                            std::chrono::milliseconds timeout);
 
 }  // namespace scenario
--- a/test/scenarios/src/load.cpp
+++ b/test/scenarios/src/load.cpp
@@ -25,8 +25,8 @@
     return it;
 }
 
-std::string take_option(
-    step& of, const std::string& name, const std::string& fallback)
+std::string take_option(step& of, const std::string& name,
+                        const std::string& fallback)
 {
     const auto n = of.options.find(name);
     if (n == of.options.end())
@@ -47,7 +47,7 @@
 };
 
 void count(background_load& load, const answer_fields& got,
-    clock::time_point& last_completed)
+           clock::time_point& last_completed)
 {
     std::lock_guard lock(load.mutex);
     ++load.outcomes[got.at("outcome")];
@@ -76,8 +76,8 @@
     }
 }
 
-std::string replace_once(
-    std::string text, const std::string& from, const std::string& to)
+std::string replace_once(std::string text, const std::string& from,
+                         const std::string& to)
 {
     const auto n = text.find(from);
     if (n != std::string::npos)
@@ -88,8 +88,8 @@
 }  // namespace
 }  // namespace detail
 
-std::string fill_values(
-    run_state& it, std::map<std::string, std::string>& options)
+std::string fill_values(run_state& it,
+                        std::map<std::string, std::string>& options)
 {
     const auto value = "v" + std::to_string(it.next_value.fetch_add(1));
     bool used = false;
@@ -103,14 +103,15 @@
 }
 
 void record_if_write(run_state& it,
-    const std::map<std::string, std::string>& options,
-    const std::string& value, const answer_fields& got, int line)
+                     const std::map<std::string, std::string>& options,
+                     const std::string& value, const answer_fields& got,
+                     int line)
 {
     if (value.empty() || options.count("access") == 0 ||
         options.at("access") != "write")
         return;
     record_write(it.writes,
-        {{options.at("group")}, value, outcome_of(got), line});
+                 {{options.at("group")}, value, outcome_of(got), line});
 }
 
 void start_load(run_state& it, const step& of)
@@ -118,18 +119,19 @@
     auto& load = it.loads.emplace_back();
     load.name = of.words.empty() ? "" : of.words[0];
     step request = of;
-    const auto threads =
-        std::strtoul(detail::take_option(request, "threads", "4").c_str(),
-            nullptr, 10);
+    const auto threads = std::strtoul(
+        detail::take_option(request, "threads", "4").c_str(), nullptr, 10);
     const auto pause =
         parse_duration(detail::take_option(request, "pause", "5ms"));
     const auto hosts = detail::split(detail::take_option(request, "via", ""));
     for (std::size_t n = 0; n < threads; ++n)
-        load.threads.emplace_back(detail::run_worker,
+        load.threads.emplace_back(
+            detail::run_worker,
             detail::worker{it, load, request, hosts,
-                ok(pause) ? std::get<std::chrono::milliseconds>(pause)
-                          : std::chrono::milliseconds(5),
-                n});
+                           ok(pause)
+                               ? std::get<std::chrono::milliseconds>(pause)
+                               : std::chrono::milliseconds(5),
+                           n});
 }
 
 answer_fields join_load(run_state& it, const std::string& name)
@@ -156,8 +158,8 @@
         join_load(it, n.name);
 }
 
-std::vector<std::string> compare_limits(
-    const step& of, const answer_fields& got)
+std::vector<std::string> compare_limits(const step& of,
+                                        const answer_fields& got)
 {
     std::vector<std::string> found;
     const std::string least = "at_least_";
@@ -165,32 +167,32 @@
     for (const auto& [name, value] : of.expected)
     {
         const bool is_least = name.rfind(least, 0) == 0;
-        const auto field =
-            name.substr(is_least ? least.size() : most.size());
+        const auto field = name.substr(is_least ? least.size() : most.size());
         const auto n = got.find(field);
         const long have =
             n == got.end() ? 0 : std::strtol(n->second.c_str(), nullptr, 10);
         const long bound = std::strtol(value.c_str(), nullptr, 10);
         if (is_least ? have < bound : have > bound)
             found.push_back("line " + std::to_string(of.line) + ": " + field +
-                " is " + std::to_string(have) + ", expected " + name + "=" +
-                value);
+                            " is " + std::to_string(have) + ", expected " +
+                            name + "=" + value);
     }
     return found;
 }
 
-answer_fields read_admin(
-    const cluster& of, const core::host_id& host, const std::string& name)
+answer_fields read_admin(const cluster& of, const core::host_id& host,
+                         const std::string& name)
 {
     answer_fields it;
-    const auto got = call_json(admin_endpoint(of, host), "GET",
-        "/v1/admin/" + name, "", std::chrono::seconds(2));
+    const auto got =
+        call_json(admin_endpoint(of, host), "GET", "/v1/admin/" + name, "",
+                  std::chrono::seconds(2));
     if (!ok(got))
         return it;
     for (const auto& n : std::get<boost::json::object>(got))
         it[std::string(n.key())] = n.value().is_string()
-            ? std::string(n.value().as_string())
-            : boost::json::serialize(n.value());
+                                       ? std::string(n.value().as_string())
+                                       : boost::json::serialize(n.value());
     return it;
 }
 
--- a/test/scenarios/src/main.cpp
+++ b/test/scenarios/src/main.cpp
@@ -33,7 +33,7 @@
 {
     const auto id = static_cast<unsigned>(getpid());
     return "127." + std::to_string(1 + id / 250 % 250) + "." +
-        std::to_string(1 + id % 250) + ".1";
+           std::to_string(1 + id % 250) + ".1";
 }
 
 scenario::cluster_options make_options()
@@ -42,7 +42,7 @@
     it.settings_folder = FLAGS_settings;
     it.programs = FLAGS_programs;
     it.work_folder = (fs::temp_directory_path() /
-        ("godwitbarrow-scenario-" + std::to_string(getpid())))
+                      ("godwitbarrow-scenario-" + std::to_string(getpid())))
                          .string();
     it.address = address_of_run();
     it.lag = std::chrono::milliseconds(FLAGS_lag_ms);
@@ -73,19 +73,18 @@
 {
     gflags::SetUsageMessage("runs a scenario on real processes");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto script =
-        scenario::parse_script(read_file(FLAGS_scenario));
+    const auto script = scenario::parse_script(read_file(FLAGS_scenario));
     if (!ok(script))
     {
         std::fprintf(stderr, "%s: %s\n", FLAGS_scenario.c_str(),
-            std::get<scenario::core::error>(script).message.c_str());
+                     std::get<scenario::core::error>(script).message.c_str());
         return 2;
     }
     auto made = scenario::make_cluster(make_options());
     if (!ok(made))
     {
         std::fprintf(stderr, "%s\n",
-            std::get<scenario::core::error>(made).message.c_str());
+                     std::get<scenario::core::error>(made).message.c_str());
         return 2;
     }
     scenario::run_state it;
@@ -98,7 +97,7 @@
     scenario::end_all(it.processes);
     if (failed > 0)
         std::printf("logs are in %s\n",
-            it.processes.options.work_folder.c_str());
+                    it.processes.options.work_folder.c_str());
     else
         fs::remove_all(it.processes.options.work_folder);
     std::printf("%s\n", failed > 0 ? "FAILED" : "passed");
--- a/test/scenarios/src/oracle.cpp
+++ b/test/scenarios/src/oracle.cpp
@@ -40,8 +40,8 @@
     return it;
 }
 
-std::optional<member_log> newest_log(
-    const cluster& of, const core::group_id& group)
+std::optional<member_log> newest_log(const cluster& of,
+                                     const core::group_id& group)
 {
     std::optional<member_log> newest;
     for (const auto& n : of.values.groups.at(group).members)
@@ -67,7 +67,7 @@
 std::string describe(const write_record& it, const std::string& problem)
 {
     return "line " + std::to_string(it.line) + ": write of " + it.value +
-        " in " + it.group.value + " " + problem;
+           " in " + it.group.value + " " + problem;
 }
 
 std::optional<std::string> check(const write_record& it, const member_log& in)
@@ -101,7 +101,7 @@
         if (!log)
         {
             violations.push_back("group " + group.first.value +
-                " has no primary that answers");
+                                 " has no primary that answers");
             continue;
         }
         for (const auto& n : it.writes)
--- a/test/scenarios/src/processes.cpp
+++ b/test/scenarios/src/processes.cpp
@@ -33,25 +33,25 @@
 }  // namespace
 }  // namespace detail
 
-core::result<process> start_process(
-    const std::vector<std::string>& command, const std::string& log_path)
+core::result<process> start_process(const std::vector<std::string>& command,
+                                    const std::string& log_path)
 {
     auto copy = command;
     auto arguments = detail::argument_pointers(copy);
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_path.c_str(),
-        O_WRONLY | O_CREAT | O_APPEND, 0644);
+                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
     process it;
     it.log_path = log_path;
-    const int rc = posix_spawn(
-        &it.id, arguments[0], &files, nullptr, arguments.data(), environ);
+    const int rc = posix_spawn(&it.id, arguments[0], &files, nullptr,
+                               arguments.data(), environ);
     posix_spawn_file_actions_destroy(&files);
     if (rc != 0)
         return core::error{core::error_kind::internal,
-            command[0] + ": " + std::strerror(rc) +
-                "; build the project first"};
+                           command[0] + ": " + std::strerror(rc) +
+                               "; build the project first"};
     return it;
 }
 
@@ -60,8 +60,7 @@
     return it.id > 0 && kill(it.id, signal_number) == 0;
 }
 
-std::optional<int> wait_for_exit(
-    process& it, std::chrono::milliseconds timeout)
+std::optional<int> wait_for_exit(process& it, std::chrono::milliseconds timeout)
 {
     if (it.id <= 0)
         return std::nullopt;
--- a/test/scenarios/src/processes.hpp
+++ b/test/scenarios/src/processes.hpp
@@ -23,16 +23,16 @@
     std::string log_path;
 };
 
-core::result<process> start_process(
-    const std::vector<std::string>& command, const std::string& log_path);
+core::result<process> start_process(const std::vector<std::string>& command,
+                                    const std::string& log_path);
 
 /// Sends a signal; returns false if the process has ended.
 bool signal_process(const process& it, int signal_number);
 
 /// Waits for the end of the process and returns its exit status, or nothing
 /// after `timeout`.
-std::optional<int> wait_for_exit(
-    process& it, std::chrono::milliseconds timeout);
+std::optional<int> wait_for_exit(process& it,
+                                 std::chrono::milliseconds timeout);
 
 /// Ends the process at once and waits for it.
 void end_process(process& it);
--- a/test/scenarios/src/script.cpp
+++ b/test/scenarios/src/script.cpp
@@ -88,8 +88,9 @@
         else if (n.equals == std::string::npos)
             it.words.push_back(n.text);
         else
-            (after_arrow ? it.expected : it.options)[n.text.substr(
-                0, n.equals)] = n.text.substr(n.equals + 1);
+            (after_arrow ? it.expected
+                         : it.options)[n.text.substr(0, n.equals)] =
+                n.text.substr(n.equals + 1);
     }
     return it;
 }
@@ -112,7 +113,7 @@
     }
     if (it.title.empty())
         return core::error{core::error_kind::malformed_request,
-            "line 1: write \"# \" and the title of the story"};
+                           "line 1: write \"# \" and the title of the story"};
     return it;
 }
 
@@ -127,8 +128,8 @@
     if (ec == std::errc() && unit == "s")
         return std::chrono::milliseconds(std::chrono::seconds(n));
     return core::error{core::error_kind::malformed_request,
-        "\"" + std::string(text) +
-            "\" is not a duration; write a number with ms or s"};
+                       "\"" + std::string(text) +
+                           "\" is not a duration; write a number with ms or s"};
 }
 
 }  // namespace scenario
--- a/test/scenarios/src/wait.cpp
+++ b/test/scenarios/src/wait.cpp
@@ -14,7 +14,7 @@
 }
 
 bool wait_until(std::chrono::milliseconds limit,
-    const std::function<bool()>& condition)
+                const std::function<bool()>& condition)
 {
     constexpr std::chrono::milliseconds interval{20};
     const auto end = std::chrono::steady_clock::now() + limit;
--- a/test/standins/database_main.cpp
+++ b/test/standins/database_main.cpp
@@ -11,7 +11,8 @@
 #include "godwitbarrow/standins/database.hpp"
 
 DEFINE_string(name, "", "name of this member");
-DEFINE_uint32(port, 0, "port on 127.0.0.1; 0 picks a free one");
+DEFINE_string(address, "127.0.0.1", "loopback address to listen on");
+DEFINE_uint32(port, 0, "port; 0 picks a free one");
 DEFINE_string(peers, "", "other members: NAME=IP:PORT,...");
 DEFINE_uint32(slots, 2, "statements that run at a time");
 DEFINE_uint32(connections, 15, "connections of clients at a time");
@@ -57,6 +58,7 @@
     using std::chrono::milliseconds;
     standins::database_options o;
     o.name = FLAGS_name;
+    o.address = FLAGS_address;
     o.port = static_cast<std::uint16_t>(FLAGS_port);
     o.peers = parse_peers(FLAGS_peers);
     o.slots = FLAGS_slots;
--- a/test/standins/include/godwitbarrow/standins/database.hpp
+++ b/test/standins/include/godwitbarrow/standins/database.hpp
@@ -19,6 +19,8 @@
 struct database_options
 {
     std::string name;
+    /// Loopback address to listen on.
+    std::string address = "127.0.0.1";
     /// 0 picks a free port.
     std::uint16_t port = 0;
     /// The other members of the group by name.
--- a/test/standins/include/godwitbarrow/standins/http_server.hpp
+++ b/test/standins/include/godwitbarrow/standins/http_server.hpp
@@ -45,7 +45,8 @@
 /// Port 0 picks a free port. Throws boost::system::system_error if the port
 /// cannot be used.
 http_server_ptr listen(const boost::asio::any_io_executor& executor,
-                       std::uint16_t port, http_hooks hooks);
+                       const std::string& address, std::uint16_t port,
+                       http_hooks hooks);
 
 std::uint16_t port_of(const http_server_ptr& it);
 
--- a/test/standins/include/godwitbarrow/standins/platform.hpp
+++ b/test/standins/include/godwitbarrow/standins/platform.hpp
@@ -12,6 +12,8 @@
 
 struct platform_options
 {
+    /// Loopback address to listen on.
+    std::string address = "127.0.0.1";
     /// 0 picks a free port.
     std::uint16_t port = 0;
     /// Until a change of the host list is shown.
--- a/test/standins/include/godwitbarrow/standins/platform_state.hpp
+++ b/test/standins/include/godwitbarrow/standins/platform_state.hpp
@@ -27,7 +27,7 @@
 struct host_list_change
 {
     core::time_point made_at;
-    std::vector<platform::host_entry> hosts;
+    platform::host_list list;
 };
 
 struct platform_state
@@ -37,6 +37,7 @@
     std::map<std::string, std::string> objects;
     /// Oldest first; the first is the list that is shown at least.
     std::deque<host_list_change> host_lists;
+    std::uint64_t host_list_version = 0;
 };
 
 std::optional<platform::versioned_value> find_row(const platform_state& it,
@@ -52,8 +53,8 @@
 void set_hosts(platform_state& it, std::vector<platform::host_entry> hosts,
                core::time_point now);
 
-std::vector<platform::host_entry> shown_hosts(platform_state& it,
-                                              std::chrono::milliseconds lag,
-                                              core::time_point now);
+platform::host_list shown_hosts(platform_state& it,
+                                std::chrono::milliseconds lag,
+                                core::time_point now);
 
 }  // namespace godwitbarrow::standins
--- a/test/standins/platform_main.cpp
+++ b/test/standins/platform_main.cpp
@@ -8,7 +8,8 @@
 
 #include "godwitbarrow/standins/platform.hpp"
 
-DEFINE_uint32(port, 0, "port on 127.0.0.1; 0 picks a free one");
+DEFINE_string(address, "127.0.0.1", "loopback address to listen on");
+DEFINE_uint32(port, 0, "port; 0 picks a free one");
 DEFINE_uint32(host_lag_ms, 0, "until a change of the host list is shown, ms");
 
 namespace standins = godwitbarrow::standins;
@@ -19,8 +20,9 @@
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     boost::asio::io_context io(1);
     const auto it = standins::start_platform(
-        io.get_executor(), {static_cast<std::uint16_t>(FLAGS_port),
-                            std::chrono::milliseconds(FLAGS_host_lag_ms)});
+        io.get_executor(),
+        {FLAGS_address, static_cast<std::uint16_t>(FLAGS_port),
+         std::chrono::milliseconds(FLAGS_host_lag_ms)});
     std::cout << "ready " << standins::port_of(it) << std::endl;
     boost::asio::signal_set signals(io, SIGTERM);
     signals.async_wait(
--- a/test/standins/src/database.cpp
+++ b/test/standins/src/database.cpp
@@ -273,7 +273,8 @@
         if (const auto d = weak.lock())
             d->clients.erase(n);
     };
-    it->server = listen(executor, options.port, std::move(hooks));
+    it->server =
+        listen(executor, options.address, options.port, std::move(hooks));
     start_replication(it);
     return it;
 }
--- a/test/standins/src/http_server.cpp
+++ b/test/standins/src/http_server.cpp
@@ -19,9 +19,9 @@
 
 struct http_server
 {
-    http_server(const asio::any_io_executor& executor, std::uint16_t port,
-                http_hooks h)
-        : acceptor(executor, {asio::ip::address_v4::loopback(), port}),
+    http_server(const asio::any_io_executor& executor,
+                const std::string& address, std::uint16_t port, http_hooks h)
+        : acceptor(executor, {asio::ip::make_address(address), port}),
           hooks(std::move(h))
     {
     }
@@ -176,9 +176,11 @@
 }  // namespace detail
 
 http_server_ptr listen(const asio::any_io_executor& executor,
-                       std::uint16_t port, http_hooks hooks)
+                       const std::string& address, std::uint16_t port,
+                       http_hooks hooks)
 {
-    auto it = std::make_shared<http_server>(executor, port, std::move(hooks));
+    auto it = std::make_shared<http_server>(executor, address, port,
+                                            std::move(hooks));
     detail::accept_sessions(it);
     return it;
 }
--- a/test/standins/src/platform.cpp
+++ b/test/standins/src/platform.cpp
@@ -138,13 +138,17 @@
     using platform::host_kind;
     using platform::host_state;
     json::array all;
-    for (const auto& h :
-         shown_hosts(it.state, it.options.host_lag, core::runtime_clock::now()))
+    const auto list =
+        shown_hosts(it.state, it.options.host_lag, core::runtime_clock::now());
+    for (const auto& h : list.entries)
         all.push_back(json::object{
             {"name", h.name},
             {"kind", h.kind == host_kind::host ? "host" : "backend_server"},
             {"state", h.state == host_state::live ? "live" : "leaving"}});
-    return {200, json::serialize(json::object{{"hosts", all}}), false};
+    return {200,
+            json::serialize(
+                json::object{{"version", list.version}, {"hosts", all}}),
+            false};
 }
 
 platform::host_entry host_of(const json::object& o)
@@ -251,7 +255,8 @@
         if (const auto p = weak.lock())
             detail::take_request(*p, s, r);
     };
-    it->server = listen(executor, options.port, std::move(hooks));
+    it->server =
+        listen(executor, options.address, options.port, std::move(hooks));
     return it;
 }
 
--- a/test/standins/src/platform_state.cpp
+++ b/test/standins/src/platform_state.cpp
@@ -48,18 +48,17 @@
 void set_hosts(platform_state& it, std::vector<platform::host_entry> hosts,
                core::time_point now)
 {
-    it.host_lists.push_back({now, std::move(hosts)});
+    it.host_lists.push_back({now, {++it.host_list_version, std::move(hosts)}});
 }
 
-std::vector<platform::host_entry> shown_hosts(platform_state& it,
-                                              std::chrono::milliseconds lag,
-                                              core::time_point now)
+platform::host_list shown_hosts(platform_state& it,
+                                std::chrono::milliseconds lag,
+                                core::time_point now)
 {
     auto& lists = it.host_lists;
     while (lists.size() > 1 && lists[1].made_at + lag <= now)
         lists.pop_front();
-    return lists.empty() ? std::vector<platform::host_entry>()
-                         : lists.front().hosts;
+    return lists.empty() ? platform::host_list() : lists.front().list;
 }
 
 }  // namespace godwitbarrow::standins
--- a/test/standins/test/platform_state_test.cpp
+++ b/test/standins/test/platform_state_test.cpp
@@ -39,7 +39,7 @@
     set_hosts(it, {{"h", host_kind::host, host_state::leaving}}, t);
     const auto state_at = [&](core::time_point now)
     {
-        return shown_hosts(it, 500ms, now).front().state;
+        return shown_hosts(it, 500ms, now).entries.front().state;
     };
     BOOST_TEST((state_at(t + 499ms) == host_state::live));
     BOOST_TEST((state_at(t + 500ms) == host_state::leaving));
