--- a/libs/http/test/link_test.cpp
+++ b/libs/http/test/link_test.cpp
@@ -31,7 +31,7 @@
             if (r.path == "/drop")
                 drop(s);
         };
-        server = standins::listen(io.get_executor(), 0, hooks);
+        server = standins::listen(io.get_executor(), "127.0.0.1", 0, hooks);
     }
     server_with_a_client(const server_with_a_client&) = delete;
     server_with_a_client& operator=(const server_with_a_client&) = delete;
--- a/libs/peer/src/decode_membership.cpp
+++ b/libs/peer/src/decode_membership.cpp
@@ -20,12 +20,13 @@
     return out;
 }
 
-membership::settings_delta get(reader& in, const wire::generation_delta& it)
+membership::settings_delta get_table(reader& in,
+                                     const wire::generation_delta& it)
 {
     return {it.base(), it.generation(), get(in, it.content())};
 }
 
-membership::host_entry get(reader& in, const wire::host_entry& it)
+membership::host_entry get_table(reader& in, const wire::host_entry& it)
 {
     membership::host_entry out;
     out.host.value = get(in, it.host());
@@ -36,7 +37,7 @@
     return out;
 }
 
-membership::group_view get(reader& in, const wire::group_view& it)
+membership::group_view get_table(reader& in, const wire::group_view& it)
 {
     membership::group_view out;
     out.group.value = get(in, it.group());
@@ -45,7 +46,7 @@
     return out;
 }
 
-membership::host_report get(reader& in, const wire::host_report& it)
+membership::host_report get_table(reader& in, const wire::host_report& it)
 {
     membership::host_report out;
     out.host.value = get(in, it.host());
@@ -56,15 +57,18 @@
     return out;
 }
 
+membership::host_delta get_table(reader& in, const wire::host_delta& it);
+membership::host_chunk get_table(reader& in, const wire::host_chunk& it);
+
 template <class T, class Vector>
 std::vector<T> get_tables(reader& in, const Vector* items)
 {
     std::vector<T> all;
-    for_each(in, items, [&](auto* it) { all.push_back(get(in, *it)); });
+    for_each(in, items, [&](auto* it) { all.push_back(get_table(in, *it)); });
     return all;
 }
 
-membership::host_delta get(reader& in, const wire::host_delta& it)
+membership::host_delta get_table(reader& in, const wire::host_delta& it)
 {
     membership::host_delta out;
     out.base = it.base();
@@ -75,7 +79,7 @@
     return out;
 }
 
-membership::host_chunk get(reader& in, const wire::host_chunk& it)
+membership::host_chunk get_table(reader& in, const wire::host_chunk& it)
 {
     membership::host_chunk out;
     out.version = it.version();
--- a/libs/peer/src/encode_membership.cpp
+++ b/libs/peer/src/encode_membership.cpp
@@ -5,8 +5,8 @@
 namespace
 {
 
-flatbuffers::Offset<wire::host_entry> put(builder& to,
-                                          const membership::host_entry& it)
+flatbuffers::Offset<wire::host_entry> put_table(
+    builder& to, const membership::host_entry& it)
 {
     const auto host = put(to, it.host);
     const auto data_centre = put(to, it.data_centre);
@@ -16,23 +16,23 @@
                                   it.peer_endpoint.port, it.leaving);
 }
 
-flatbuffers::Offset<wire::generation_delta> put(
+flatbuffers::Offset<wire::generation_delta> put_table(
     builder& to, const membership::settings_delta& it)
 {
     const auto content = put(to, it.content);
     return wire::Creategeneration_delta(to, it.base, it.generation, content);
 }
 
-flatbuffers::Offset<wire::group_view> put(builder& to,
-                                          const membership::group_view& it)
+flatbuffers::Offset<wire::group_view> put_table(
+    builder& to, const membership::group_view& it)
 {
     const auto group = put(to, it.group);
     const auto content = put(to, it.content);
     return wire::Creategroup_view(to, group, it.version, content);
 }
 
-flatbuffers::Offset<wire::host_report> put(builder& to,
-                                           const membership::host_report& it)
+flatbuffers::Offset<wire::host_report> put_table(
+    builder& to, const membership::host_report& it)
 {
     const auto host = put(to, it.host);
     const auto unreachable = put(to, it.unreachable);
@@ -40,18 +40,23 @@
                                    it.leaving, unreachable);
 }
 
+flatbuffers::Offset<wire::host_delta> put_table(
+    builder& to, const membership::host_delta& it);
+flatbuffers::Offset<wire::host_chunk> put_table(
+    builder& to, const membership::host_chunk& it);
+
 template <class Table, class T>
 list<Table> put_tables(builder& to, const std::vector<T>& items)
 {
     std::vector<flatbuffers::Offset<Table>> offsets;
     offsets.reserve(items.size());
     for (const auto& it : items)
-        offsets.push_back(put(to, it));
+        offsets.push_back(put_table(to, it));
     return to.CreateVector(offsets);
 }
 
-flatbuffers::Offset<wire::host_delta> put(builder& to,
-                                          const membership::host_delta& it)
+flatbuffers::Offset<wire::host_delta> put_table(
+    builder& to, const membership::host_delta& it)
 {
     const auto changed = put_tables<wire::host_entry>(to, it.changed);
     const auto removed = put(to, it.removed);
@@ -60,8 +65,8 @@
                                   leaving);
 }
 
-flatbuffers::Offset<wire::host_chunk> put(builder& to,
-                                          const membership::host_chunk& it)
+flatbuffers::Offset<wire::host_chunk> put_table(
+    builder& to, const membership::host_chunk& it)
 {
     const auto hosts = put_tables<wire::host_entry>(to, it.hosts);
     const auto leaving = put(to, it.leaving_servers);
