--- a/libs/gateway/include/godwitbarrow/gateway/server.hpp
+++ b/libs/gateway/include/godwitbarrow/gateway/server.hpp
@@ -35,7 +35,8 @@
 
 /// Answers the request; callable once, from any thread. `token` is the encoded
 /// session token of a completed request. If all copies are destroyed without a
-/// call, the caller gets the outcome unknown.
+/// call, the caller gets the outcome unknown. No copy may outlive the
+/// io_context.
 using responder = std::function<void(core::outcome, std::string token)>;
 
 struct gateway_handlers
