--- a/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
+++ b/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
@@ -10,6 +10,7 @@
 #include "godwitbarrow/core/names.hpp"
 #include "godwitbarrow/core/position.hpp"
 #include "godwitbarrow/core/request.hpp"
+#include "godwitbarrow/telemetry/burn.hpp"
 
 /// Metrics of one process. All functions are callable from any thread.
 namespace godwitbarrow::telemetry
@@ -34,7 +35,9 @@
 struct metrics;
 using metrics_ptr = std::shared_ptr<metrics>;
 
-metrics_ptr make_metrics();
+/// The latencies of `goals` become bounds of the latency histogram, so that the
+/// share of good requests is exact for them.
+metrics_ptr make_metrics(const objectives& goals = {});
 
 /// Counts the request; the latency of a completed one goes to the histogram of
 /// its rank.
