--- a/libs/serving/test/database_model.hpp
+++ b/libs/serving/test/database_model.hpp
@@ -57,6 +57,8 @@
     core::term_number active = 1;
     core::term_number log_term = 1;
     bool primary = false;
+    /// The log may still have a tail that the primary does not have.
+    bool tail_in_doubt = false;
     std::vector<log_entry> log;
     std::map<session_key, database_session> sessions;
 
@@ -203,6 +205,17 @@
     return execute_in_transaction(model, it, session, request, reply);
 }
 
+/// Cuts what the log of the primary does not have.
+inline void cut_tail(database_member& it, const std::vector<log_entry>& leader)
+{
+    std::size_t common = 0;
+    while (common < std::min(it.log.size(), leader.size()) &&
+           it.log[common] == leader[common])
+        ++common;
+    it.log.resize(common);
+    it.tail_in_doubt = false;
+}
+
 /// Copies up to `count` entries from the primary of the replica's term.
 inline void replicate(database_model& model, std::size_t replica,
                       std::size_t count)
@@ -214,6 +227,8 @@
     {
         if (!from.primary || from.active != it.active || from.term != it.term)
             continue;
+        if (it.tail_in_doubt)
+            cut_tail(it, from.log);
         while (count-- > 0 && it.log.size() < from.log.size())
             it.log.push_back(from.log[it.log.size()]);
         if (it.active == model.newest && it.log.size() >= model.base)
@@ -221,24 +236,17 @@
     }
 }
 
-/// Tells a member to follow the newest primary; cuts its divergent tail.
+/// Tells a member to follow the newest primary. Its divergent tail stays
+/// until the two replicate.
 inline void follow(database_model& model, std::size_t member)
 {
     auto& it = model.members[member];
-    const auto& leader = model.members[model.primary].log;
     if (member == model.primary || it.active == model.newest)
         return;
     it.term = model.newest;
     it.active = model.newest;
     it.primary = false;
-    it.sessions.clear();
-    std::size_t common = 0;
-    while (common < std::min(it.log.size(), leader.size()) &&
-           it.log[common] == leader[common])
-        ++common;
-    it.log.resize(common);
-    if (common >= model.base)
-        it.log_term = model.newest;
+    it.tail_in_doubt = true;
 }
 
 /// Fences all members but one and promotes the one that is furthest ahead.
@@ -266,7 +274,7 @@
     it.active = model.newest;
     it.log_term = model.newest;
     it.primary = true;
-    it.sessions.clear();
+    it.tail_in_doubt = false;
 }
 
 }  // namespace godwitbarrow::test
--- a/libs/serving/test/fuzz_test.cpp
+++ b/libs/serving/test/fuzz_test.cpp
@@ -21,6 +21,7 @@
     statement,
     commit,
     roll_back,
+    transaction,
     flood,
     wait,
     wait_long,
@@ -29,14 +30,13 @@
     pause,
     cut,
     promote,
+    split,
     follow,
     leave,
     own,
     go_away,
     restart
 };
-constexpr int step_count = 22;
-
 /// The meaning of a, b and c depends on the step.
 struct command
 {
@@ -121,6 +121,20 @@
              request);
 }
 
+/// A transaction from begin to commit, with time for faults in between.
+void transaction(world& it, command by)
+{
+    by.b = by.b % 3;
+    by.c = by.c / 4 * 4 + 2 + by.c % 2;
+    issue(it, by, request_of(it, by, core::access_mode::begin));
+    it.run_for(1ms * (10 + by.a % 40));
+    in_transaction(it, by, core::access_mode::statement);
+    it.run_for(1ms * (5 + by.c % 20));
+    in_transaction(it, by, core::access_mode::statement);
+    it.run_for(1ms * (by.a % 15));
+    in_transaction(it, by, core::access_mode::commit);
+}
+
 void flood(world& it, command by)
 {
     for (unsigned n = 0; n < 30; ++n)
@@ -142,6 +156,31 @@
             it.tell_view(n, 1ms * (by.c % 600));
 }
 
+/// A host and the old primary are cut off from the rest; the other host
+/// writes to the new primary while the first one reads.
+void split(world& it, command by)
+{
+    const auto old = it.model.primary;
+    const auto lonely = by.c / 4 % host_count;
+    auto& host = it.hosts[lonely];
+    host.isolated = true;
+    for (std::size_t n = 0; n < member_count; ++n)
+        host.cut[n] = n != old;
+    promote(it, {step::promote, static_cast<unsigned>(old), 0, 1});
+    by.b = 0;
+    for (unsigned n = 0; n < 6; ++n)
+    {
+        by.c ^= 4U;
+        write(it, by, n % 2 == 0);
+        it.run_for(1ms * (by.a % 90));
+        by.c ^= 4U;
+        auto request = request_of(it, by, core::access_mode::read);
+        request.max_age = 250ms;
+        it.issue(by.a % session_count, lonely, old, request);
+        it.run_for(1ms * (by.a % 30));
+    }
+}
+
 void silence(world& it, const command& by)
 {
     auto& host = it.hosts[by.a % host_count];
@@ -203,6 +242,8 @@
             return in_transaction(it, by, core::access_mode::commit);
         case step::roll_back:
             return in_transaction(it, by, core::access_mode::rollback);
+        case step::transaction:
+            return transaction(it, by);
         case step::flood:
             return flood(it, by);
         case step::wait:
@@ -220,9 +261,12 @@
         case step::cut:
             it.hosts[by.a % host_count].cut[by.b % member_count] =
                 by.c % 2 == 0;
+            it.hosts[by.a % host_count].isolated = by.c % 4 == 0;
             return;
         case step::promote:
             return promote(it, by);
+        case step::split:
+            return split(it, by);
         case step::follow:
             return follow(it.model, by.a % member_count);
         case step::leave:
@@ -240,14 +284,14 @@
 {
     // Requests and short waits are much more frequent than faults.
     static const std::vector<std::pair<std::size_t, step>> weights{
-        {6, step::write},     {5, step::keyed_write},  {2, step::repeat_key},
-        {6, step::read},      {5, step::bounded_read}, {4, step::begin},
-        {6, step::statement}, {4, step::commit},       {1, step::roll_back},
-        {1, step::flood},     {16, step::wait},        {2, step::wait_long},
-        {5, step::add_fault}, {1, step::silence},      {2, step::pause},
-        {1, step::cut},       {2, step::promote},      {2, step::follow},
-        {1, step::leave},     {1, step::own},          {1, step::go_away},
-        {1, step::restart}};
+        {6, step::write},       {5, step::keyed_write},  {2, step::repeat_key},
+        {6, step::read},        {5, step::bounded_read}, {4, step::begin},
+        {6, step::statement},   {4, step::commit},       {1, step::roll_back},
+        {6, step::transaction}, {1, step::flood},        {16, step::wait},
+        {2, step::wait_long},   {5, step::add_fault},    {1, step::silence},
+        {2, step::pause},       {1, step::cut},          {2, step::promote},
+        {1, step::split},       {2, step::follow},       {1, step::leave},
+        {1, step::own},         {1, step::go_away},      {1, step::restart}};
     std::vector<step> all;
     for (const auto& [weight, it] : weights)
         all.insert(all.end(), weight, it);
--- a/libs/serving/test/oracle_test.cpp
+++ b/libs/serving/test/oracle_test.cpp
@@ -85,6 +85,8 @@
 
 void world::check_read(const call& it, const core::completed& result)
 {
+    if (result.at.term != hosts[it.host].state.view.term)
+        violate("term: " + it.request.id.value + " read an old term");
     for (const auto& operation : it.must_see)
         if (!contains(result.rows, operation))
             violate("P1: " + it.request.id.value + " misses " + operation);
@@ -134,6 +136,7 @@
     for (auto& host : hosts)
     {
         host.cut = {};
+        host.isolated = false;
         host.silent.clear();
     }
     for (std::size_t n = 0; n < member_count; ++n)
--- a/libs/serving/test/world.hpp
+++ b/libs/serving/test/world.hpp
@@ -69,6 +69,8 @@
     std::set<serving::connection_number> silent;
     std::set<core::server_id> leaving;
     std::array<bool, member_count> cut{};
+    /// Hears of no view from peers or the store.
+    bool isolated = false;
     core::time_point ticked;
     int ticks = 0;
 };
--- a/libs/serving/test/world_test.cpp
+++ b/libs/serving/test/world_test.cpp
@@ -230,6 +230,8 @@
 
 void world::tell_view(std::size_t host, core::duration delay)
 {
+    if (hosts[host].isolated)
+        return;
     later(host, delay,
           serving::view_changed{model.newest, server_name(model.primary)});
 }
