--- a/libs/failover/src/review.cpp
+++ b/libs/failover/src/review.cpp
@@ -113,7 +113,8 @@
         record_row_progress(at);
         compare_with_row(at);
     }
-    if (takeover_due(at) || primary_denies(state))
+    const bool denied = primary_denies(state) && at.now >= state.next_round;
+    if (takeover_due(at) || denied)
         begin_claim(at, cause::unresolved);
     else if (ordered_promotion_due(at))
         begin_claim(at, cause::leaving);
--- a/libs/failover/test/safety_test.cpp
+++ b/libs/failover/test/safety_test.cpp
@@ -127,6 +127,7 @@
         [](sim::world& w)
         {
             sim::heal_all(w);
+            sim::run_for(w, sim::rest);
             const bool done = sim::run_until(w, recovery_limit,
                                              [&] { return sim::settled(w); });
             if (!done || !w.violations.empty())
--- a/libs/failover/test/sim/world.hpp
+++ b/libs/failover/test/sim/world.hpp
@@ -84,6 +84,7 @@
 {
     group_state state;
     bool alive = true;
+    core::time_point died_at;
     bool paused = false;
     std::vector<std::function<void()>> inbox;
     core::time_point timer_at;
--- a/libs/membership/include/godwitbarrow/membership/events.hpp
+++ b/libs/membership/include/godwitbarrow/membership/events.hpp
@@ -104,8 +104,9 @@
     std::uint64_t hosts_version = 0;
     std::uint64_t views_digest = 0;
     std::uint64_t reports_digest = 0;
-    /// Backend servers that the sender cannot reach.
-    std::vector<core::server_id> unreachable;
+    /// The sender's report of itself, with the backend servers that it cannot
+    /// reach.
+    host_report own;
     /// Whether this is the answer to a summary; an answer gets none.
     bool reply = false;
 };
--- a/libs/membership/include/godwitbarrow/membership/state.hpp
+++ b/libs/membership/include/godwitbarrow/membership/state.hpp
@@ -39,6 +39,8 @@
     std::size_t chunk_hosts = 128;
     /// Deltas kept for peers that are behind.
     std::size_t kept_deltas = 64;
+    /// News of more items is a catch-up that the other hosts do not need.
+    std::size_t pushed_items = 64;
 };
 
 /// A message to a peer that it has not answered.
@@ -47,6 +49,8 @@
     core::time_point since;
     std::optional<core::time_point> probed_at;
     std::size_t probes_open = 0;
+    /// A probe failed, that is, another host misses the peer as well.
+    bool confirmed = false;
 };
 
 /// A whole host list under way from peers.
@@ -62,9 +66,8 @@
     host_entry self;
     limits bounds;
     host_list hosts;
+    /// Hosts of the list; until one is known, the peers of the settings.
     std::map<core::host_id, host_entry> directory;
-    /// Peers named in the settings, used until a host list is known.
-    std::vector<host_entry> seeds;
     std::deque<host_delta> host_deltas;
     std::deque<settings_delta> settings_deltas;
     std::uint64_t settings_generation = 0;
@@ -78,9 +81,11 @@
     std::uint64_t settings_offered = 0;
     std::map<core::host_id, core::time_point> requested_at;
     std::map<core::host_id, expectation> waiting_for;
-    /// News to push at the next tick, and the peer that each came from.
+    /// Hosts that this host alone takes for dead, as nobody answered it.
+    std::set<core::host_id> silent;
+    /// News to push.
     news outbox;
-    std::optional<core::host_id> outbox_source;
+    core::time_point next_push;
 
     std::uint64_t round = 0;
     core::time_point next_round;
@@ -88,6 +93,8 @@
     bool reading_host_list = false;
     bool leaving = false;
     hosts_changed announced;
+    /// Something that `announced` depends on changed.
+    bool hosts_dirty = true;
     std::set<core::server_id> leaving_servers;
 };
 
--- a/libs/membership/src/sizes.cpp
+++ b/libs/membership/src/sizes.cpp
@@ -91,7 +91,7 @@
 
 std::size_t size_of(const summary& it)
 {
-    return message_overhead + 5 * number_size + size_of_names(it.unreachable);
+    return message_overhead + 5 * number_size + size_of(it.own);
 }
 
 std::size_t size_of(const news_request& it)
