Leave the claim when the row names a primary that is known

Cause: a host that learned a view while its claim was in doubt stayed in the claiming phase and its timer fired without pause.

--- a/libs/failover/src/claim.cpp
+++ b/libs/failover/src/claim.cpp
@@ -130,7 +130,12 @@
     attempt.in_doubt = false;
     const auto row = state.store.row->row;
     if (row.primary && row.term > attempt.replaces)
+    {
         adopt_view(at, row.term, *row.primary);
+        // The view may have been known already.
+        if (state.now_in == phase::claiming)
+            abandon(at, "another attempt promoted " + row.primary->value);
+    }
     else if (unresolved(state) && at.now < takeover_at(state))
         abandon(at, "another coordinator claimed a term");
     else if (!still_needed(state))
