Carry the host's own report in summaries; give host lists a version

Cause: hosts read the platform's list at different times and need to know which copy is newer. Change: GET /hosts has a version that rises with each change; the peer messages carry the summary of the membership decisions.

--- a/libs/peer/src/decode_membership.cpp
+++ b/libs/peer/src/decode_membership.cpp
@@ -101,7 +101,7 @@
     out.hosts_version = it.hosts_version();
     out.views_digest = it.views_digest();
     out.reports_digest = it.reports_digest();
-    out.unreachable = get_names<core::server_id>(in, it.unreachable());
+    out.own = get_table(in, *it.own());
     out.reply = it.reply();
     return out;
 }
--- a/libs/peer/src/encode_membership.cpp
+++ b/libs/peer/src/encode_membership.cpp
@@ -79,9 +79,9 @@
 flatbuffers::Offset<wire::summary> put_summary(builder& to,
                                                const membership::summary& it)
 {
-    const auto unreachable = put(to, it.unreachable);
+    const auto own = put_table(to, it.own);
     return wire::Createsummary(to, it.settings_generation, it.hosts_version,
-                               it.views_digest, it.reports_digest, unreachable,
+                               it.views_digest, it.reports_digest, own,
                                it.reply);
 }
 
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -46,7 +46,7 @@
 
 membership::summary full_summary()
 {
-    return {1, 2, 3, 4, {{"s1"}, {"s2"}}, true};
+    return {1, 2, 3, 4, {{"h"}, 5, false, true, {{"s1"}, {"s2"}}}, true};
 }
 
 membership::news_request full_news_request()
@@ -244,7 +244,9 @@
     BOOST_TEST(seen.hosts_version == 2U);
     BOOST_TEST(seen.views_digest == 3U);
     BOOST_TEST(seen.reports_digest == 4U);
-    BOOST_TEST(seen.unreachable.at(1).value == "s2");
+    BOOST_TEST(seen.own.version == 5U);
+    BOOST_TEST(seen.own.leaving);
+    BOOST_TEST(seen.own.unreachable.at(1).value == "s2");
     BOOST_TEST(seen.reply);
     const auto wanted = round_trip(full_news_request());
     BOOST_TEST((wanted.views == full_news_request().views));
--- a/libs/platform/test/client_test.cpp
+++ b/libs/platform/test/client_test.cpp
@@ -89,7 +89,7 @@
             numbers.insert(number_of(s));
             held.push_back(s);
         };
-        server = standins::listen(io.get_executor(), 0, hooks);
+        server = standins::listen(io.get_executor(), "127.0.0.1", 0, hooks);
         it = make_client(io.get_executor(),
                          {{"127.0.0.1", port_of(server)}, 2s, 2});
     }
@@ -164,11 +164,12 @@
 {
     post("/hosts",
          R"({"hosts":[{"name":"h","kind":"host","state":"leaving"}]})");
-    const auto r = result_of<core::result<std::vector<host_entry>>>(
+    const auto r = result_of<core::result<host_list>>(
         io, [&](auto handler) { list_hosts(it, handler); });
-    const auto& hosts = std::get<std::vector<host_entry>>(r);
-    BOOST_TEST(hosts.size() == 1);
-    BOOST_TEST((hosts.at(0).state == host_state::leaving));
+    const auto& hosts = std::get<host_list>(r);
+    BOOST_TEST(hosts.version == 1U);
+    BOOST_TEST(hosts.entries.size() == 1);
+    BOOST_TEST((hosts.entries.at(0).state == host_state::leaving));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -199,7 +200,8 @@
 {
     write(io, it, "a", 0);
     stop(service);
-    service = standins::start_platform(io.get_executor(), {at.port, {}});
+    service =
+        standins::start_platform(io.get_executor(), {at.address, at.port, {}});
     BOOST_TEST((kind_of(read(io, it)) == error_kind::not_found));
 }
 
