--- a/apps/proxy/src/poller.cpp
+++ b/apps/proxy/src/poller.cpp
@@ -107,6 +107,7 @@
             return;
     }
     learn_view(p->it, p->group, status.term, p->server);
+    announce_view(p->it, p->group->id, status.term, p->server);
 }
 
 void on_status(const poller_ptr& p, const core::member_status& status,
--- a/apps/proxy/src/views.cpp
+++ b/apps/proxy/src/views.cpp
@@ -91,13 +91,18 @@
         });
 }
 
+void announce_view(app& it, const core::group_id& group, core::term_number term,
+                   const core::server_id& primary)
+{
+    post(it, membership::view_published{{group, term, primary.value}});
+}
+
 void publish_view(app& it, const group_ptr& group, core::term_number term,
                   const std::optional<core::server_id>& primary)
 {
     post(it, group, serving::event(serving::view_changed{term, primary}));
     if (primary)
-        post(it, membership::view_published{
-                     {group->id, term, encode_primary(primary)}});
+        announce_view(it, group->id, term, *primary);
 }
 
 }  // namespace godwitbarrow::proxy
--- a/apps/proxy/src/views.hpp
+++ b/apps/proxy/src/views.hpp
@@ -22,6 +22,10 @@
 /// Reads the group row and learns the view that it holds, if it is newer.
 void refresh_view(app& it, const group_ptr& group);
 
+/// Passes a view to the peers.
+void announce_view(app& it, const core::group_id& group, core::term_number term,
+                   const core::server_id& primary);
+
 /// Learns a view at this host and passes it to the peers.
 void publish_view(app& it, const group_ptr& group, core::term_number term,
                   const std::optional<core::server_id>& primary);
--- a/test/scenarios/src/load.cpp
+++ b/test/scenarios/src/load.cpp
@@ -1,6 +1,7 @@
 #include "load.hpp"
 
 #include <algorithm>
+#include <boost/json/serialize.hpp>
 #include <cstdlib>
 #include <sstream>
 
