--- a/libs/platform/test/client_test.cpp
+++ b/libs/platform/test/client_test.cpp
@@ -1,9 +1,12 @@
 #include "godwitbarrow/platform/client.hpp"
 
 #include <algorithm>
-#include <boost/asio/ip/tcp.hpp>
+#include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/test/unit_test.hpp>
+#include <future>
 #include <set>
+#include <thread>
 
 #include "godwitbarrow/http/link.hpp"
 #include "godwitbarrow/standins/http_server.hpp"
@@ -43,6 +46,39 @@
         { write_row(it, "t", "k", value, expected, handler); });
 }
 
+/// Runs the stand-in of the platform on a thread of its own and the
+/// client on several.
+struct client_on_several_workers
+{
+    client_on_several_workers()
+    {
+        threads.emplace_back([this] { server_io.run(); });
+        for (int n = 0; n < 4; ++n)
+            threads.emplace_back([this] { client_io.run(); });
+    }
+    client_on_several_workers(const client_on_several_workers&) = delete;
+    client_on_several_workers& operator=(const client_on_several_workers&) =
+        delete;
+    ~client_on_several_workers()
+    {
+        client_work.reset();
+        server_io.stop();
+        for (auto& t : threads)
+            t.join();
+        stop(service);
+    }
+
+    asio::io_context server_io;
+    asio::io_context client_io;
+    asio::executor_work_guard<asio::io_context::executor_type> client_work{
+        client_io.get_executor()};
+    standins::platform_ptr service =
+        standins::start_platform(server_io.get_executor(), {});
+    client_ptr it = make_client(client_io.get_executor(),
+                                {{"127.0.0.1", port_of(service)}, 20s, 4});
+    std::vector<std::thread> threads;
+};
+
 struct client_of_a_platform
 {
     client_of_a_platform() = default;
@@ -212,6 +248,30 @@
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(several_workers_share_a_client,
+                         client_on_several_workers)
+
+// Guards against a race between workers, with ThreadSanitizer.
+BOOST_AUTO_TEST_CASE(every_call_is_answered_once)
+{
+    constexpr int calls = 60;
+    std::promise<void> all;
+    std::atomic<int> left{calls};
+    std::atomic<int> written{0};
+    for (int n = 0; n < calls; ++n)
+        write_row(it, "t", std::to_string(n), "v", 0,
+                  [&](const version_result& r)
+                  {
+                      written += core::ok(r) ? 1 : 0;
+                      if (--left == 0)
+                          all.set_value();
+                  });
+    all.get_future().wait();
+    BOOST_TEST(written == calls);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(a_client_has_many_calls, client_of_a_stub)
 
 // Guards against a slow store that takes all connections (F7).
--- a/test/standins/include/godwitbarrow/standins/member_state.hpp
+++ b/test/standins/include/godwitbarrow/standins/member_state.hpp
@@ -142,7 +142,7 @@
                                          const pull_reply& reply);
 
 /// Applies a reply of the primary. False, without effect, if the reply was
-/// refused or the state has changed since the request was made.
+/// refused, is for another term or does not continue the present log.
 bool take_pull(member_state& it, const pull_request& request,
                const pull_reply& reply, core::time_point now);
 
