Free a call in flight when its executor stops

A link owned its call and the call's handler may refer to the link, so both were kept for ever. The asynchronous operations now own the call.

--- a/libs/http/src/link.cpp
+++ b/libs/http/src/link.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <cstdint>
-#include <optional>
 #include <utility>
 
 namespace godwitbarrow::http
@@ -26,6 +25,8 @@
 /// A whole set of settings files is the largest body, about 2.6 MB.
 constexpr std::uint64_t largest_body_bytes = 16ULL * 1024 * 1024;
 
+/// Owned by its asynchronous operations only. If the link owned it, a handler
+/// that refers to the link would keep both for ever when the executor stops.
 struct pending_call
 {
     beast_http::request<beast_http::string_body> request;
@@ -33,6 +34,7 @@
     bool any_byte_sent = false;
     std::function<void(exchange_result)> handler;
 };
+using call_ptr = std::shared_ptr<pending_call>;
 
 }  // namespace
 }  // namespace detail
@@ -54,7 +56,8 @@
     /// was cancelled may already have queued its handler.
     std::uint64_t operation = 0;
     bool timed_out = false;
-    std::optional<detail::pending_call> call;
+    /// Whether a call is in flight.
+    bool busy = false;
 };
 
 namespace detail
@@ -90,57 +93,56 @@
     it.deadline.cancel();
 }
 
-void finish(const link_ptr& it, exchange_result result)
+void finish(const link_ptr& it, const call_ptr& c, exchange_result result)
 {
     stop_deadline(*it);
-    auto handler = std::move(it->call->handler);
-    it->call.reset();
-    handler(std::move(result));
+    it->busy = false;
+    c->handler(std::move(result));
 }
 
-void fail(const link_ptr& it, const std::string& what)
+void fail(const link_ptr& it, const call_ptr& c, const std::string& what)
 {
     const bool late = it->timed_out;
     close_socket(*it);
-    failure f{it->call->any_byte_sent, late,
+    failure f{c->any_byte_sent, late,
               late ? "no answer from " + it->host +
                          " in time; check that it answers or allow more time"
                    : "the connection to " + it->host + " broke (" + what +
                          "); open a new one"};
-    finish(it, std::move(f));
+    finish(it, c, std::move(f));
 }
 
-void take_answer(const link_ptr& it)
+void take_answer(const link_ptr& it, const call_ptr& c)
 {
-    auto message = it->call->parser.release();
+    auto message = c->parser.release();
     // Bytes after the answer would be taken for the answer of the next call.
     if (!message.keep_alive() || it->buffer.size() > 0)
         close_socket(*it);
-    finish(it, answer{message.result_int(), std::move(message.body())});
+    finish(it, c, answer{message.result_int(), std::move(message.body())});
 }
 
-void read_answer(const link_ptr& it)
+void read_answer(const link_ptr& it, const call_ptr& c)
 {
-    beast_http::async_read(it->socket, it->buffer, it->call->parser,
-                           [it](error_code ec, std::size_t)
+    beast_http::async_read(it->socket, it->buffer, c->parser,
+                           [it, c](error_code ec, std::size_t)
                            {
                                if (ec)
-                                   fail(it, ec.message());
+                                   fail(it, c, ec.message());
                                else
-                                   take_answer(it);
+                                   take_answer(it, c);
                            });
 }
 
-void write_request(const link_ptr& it)
+void write_request(const link_ptr& it, const call_ptr& c)
 {
-    it->call->any_byte_sent = true;
-    beast_http::async_write(it->socket, it->call->request,
-                            [it](error_code ec, std::size_t)
+    c->any_byte_sent = true;
+    beast_http::async_write(it->socket, c->request,
+                            [it, c](error_code ec, std::size_t)
                             {
                                 if (ec)
-                                    fail(it, ec.message());
+                                    fail(it, c, ec.message());
                                 else
-                                    read_answer(it);
+                                    read_answer(it, c);
                             });
 }
 
@@ -167,11 +169,11 @@
     return beast_http::verb::post;
 }
 
-void prepare(link& it, call&& request)
+call_ptr prepare(const link& it, call&& request)
 {
-    it.call.emplace();
-    it.call->parser.body_limit(largest_body_bytes);
-    auto& r = it.call->request;
+    const auto c = std::make_shared<pending_call>();
+    c->parser.body_limit(largest_body_bytes);
+    auto& r = c->request;
     r.version(11);
     r.method(verb_of(request.verb));
     r.target(request.target);
@@ -180,12 +182,13 @@
         r.set(beast_http::field::content_type, "application/json");
     r.body() = std::move(request.body);
     r.prepare_payload();
+    return c;
 }
 
 void start_exchange(const link_ptr& it, call&& request, core::time_point t,
                     std::function<void(exchange_result)>&& handler)
 {
-    if (it->call)
+    if (it->busy)
         return handler(failure{false, false,
                                "the connection is in use; wait for its answer "
                                "or open another one"});
@@ -193,12 +196,14 @@
         return handler(failure{false, true,
                                "the deadline passed before the call was sent; "
                                "allow more time"});
-    prepare(*it, std::move(request));
-    it->call->handler = std::move(handler);
+    const auto c = prepare(*it, std::move(request));
+    c->handler = std::move(handler);
+    it->busy = true;
+    it->timed_out = false;
     if (!it->open || is_stale(*it))
-        return fail(it, "closed before the call");
+        return fail(it, c, "closed before the call");
     start_deadline(it, t);
-    write_request(it);
+    write_request(it, c);
 }
 
 core::error connect_error(const link& it, const std::string& what)
--- a/libs/http/test/link_test.cpp
+++ b/libs/http/test/link_test.cpp
@@ -173,3 +173,25 @@
     BOOST_TEST(!failure_of(call(it, "/answer")).any_byte_sent);
     BOOST_TEST(!http::is_open(it));
 }
+
+// Guards against a link that is never freed because its handler refers to it.
+BOOST_FIXTURE_TEST_CASE(an_executor_that_stops_frees_a_call_in_flight,
+                        server_with_a_client)
+{
+    std::weak_ptr<http::link> freed;
+    {
+        asio::io_context own;
+        const core::endpoint to{"127.0.0.1", port_of(server)};
+        auto it = std::get<http::link_ptr>(standins::result_of<opened>(
+            own, [&](auto handler)
+            { http::open_link(own.get_executor(), to, 5s, handler); }));
+        freed = it;
+        http::exchange(it, {http::method::get, "/hold", {}},
+                       core::runtime_clock::now() + 5s,
+                       [it](const http::exchange_result&) {});
+        own.poll();
+        it.reset();
+        BOOST_TEST(!freed.expired());
+    }
+    BOOST_TEST(freed.expired());
+}
--- a/test/standins/src/database.cpp
+++ b/test/standins/src/database.cpp
@@ -47,6 +47,13 @@
     answer(it, s, why, code_conflict);
 }
 
+bool same(const core::member_status& a, const core::member_status& b)
+{
+    return a.term == b.term && a.log_term == b.log_term &&
+           a.position == b.position && a.role == b.role &&
+           a.primary_contact == b.primary_contact;
+}
+
 void run_statement(const database_ptr& it, const session& s,
                    const backend::statement_call& call)
 {
@@ -54,8 +61,10 @@
     std::optional<transaction> none;
     const auto found = it->clients.find(number_of(s));
     auto& open = found == it->clients.end() ? none : found->second;
+    const auto before = status_of(it->member, now());
     const auto r = execute(it->member, open, call, now());
-    notify_change(it);
+    if (!same(before, status_of(it->member, now())))
+        notify_change(it);
     answer(it, s, encode_reply(r));
 }
 
@@ -83,13 +92,6 @@
     return found == r.query.end() ? 0 : std::stoull(found->second);
 }
 
-bool same(const core::member_status& a, const core::member_status& b)
-{
-    return a.term == b.term && a.log_term == b.log_term &&
-           a.position == b.position && a.role == b.role &&
-           a.primary_contact == b.primary_contact;
-}
-
 void take_status(const database_ptr& it, const session& s,
                  const http_request& r)
 {
@@ -293,8 +295,9 @@
 {
     it->stopped = true;
     stop(it->server);
-    it->pull_timer.cancel();
+    wake_replication(it);
     notify_change(it);
+    it->waiters.clear();
 }
 
 }  // namespace godwitbarrow::standins
