--- a/libs/http/src/link.cpp
+++ b/libs/http/src/link.cpp
@@ -171,7 +171,7 @@
 
 call_ptr prepare(const link& it, call&& request)
 {
-    const auto c = std::make_shared<pending_call>();
+    auto c = std::make_shared<pending_call>();
     c->parser.body_limit(largest_body_bytes);
     auto& r = c->request;
     r.version(11);
