Collect latencies before counters and test telemetry

One prometheus registry collects counters before histograms, so a scrape during traffic could show more good requests than requests: the new test saw 29 of 28. Latencies now have their own registry, which is collected first.

--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <mutex>
 
 #include "godwitbarrow/core/lock_order.hpp"
@@ -29,9 +30,11 @@
 /// The pointers refer to metrics that the registry owns.
 struct metrics
 {
+    /// Holds the latencies. It is collected before `registry`, so that a scrape
+    /// during traffic never shows more completed requests than requests. One
+    /// registry collects counters before histograms.
+    prometheus::Registry latency_registry;
     prometheus::Registry registry;
-    /// Registered before `requests`, so that a scrape during traffic never
-    /// shows more completed requests than requests.
     detail::per_rank<prometheus::Histogram> latency{};
     std::array<detail::per_rank<prometheus::Counter>, request_result_count>
         requests{};
@@ -81,18 +84,21 @@
 }
 
 template <class Builder>
-auto& family(metrics& it, Builder builder, const char* name, const char* help)
+auto& family(prometheus::Registry& in, Builder builder, const char* name,
+             const char* help)
 {
-    return builder().Name(name).Help(help).Register(it.registry);
+    return builder().Name(name).Help(help).Register(in);
 }
 
 void add_request_metrics(metrics& it, const objectives& goals)
 {
-    auto& latency = family(it, prometheus::BuildHistogram, latency_name,
-                           "Time from arrival to answer of completed requests");
-    auto& requests = family(it, prometheus::BuildCounter, requests_name,
-                            "Requests of callers by rank and result");
-    auto& retries = family(it, prometheus::BuildCounter,
+    auto& latency =
+        family(it.latency_registry, prometheus::BuildHistogram, latency_name,
+               "Time from arrival to answer of completed requests");
+    auto& requests =
+        family(it.registry, prometheus::BuildCounter, requests_name,
+               "Requests of callers by rank and result");
+    auto& retries = family(it.registry, prometheus::BuildCounter,
                            "godwitbarrow_retries_total", "Repeated requests");
     for (const auto rank : core::all_ranks)
     {
@@ -110,16 +116,16 @@
 
 void add_read_metrics(metrics& it)
 {
-    auto& reads =
-        family(it, prometheus::BuildCounter, "godwitbarrow_reads_total",
-               "Completed reads by the role of the member that served them");
+    auto& reads = family(
+        it.registry, prometheus::BuildCounter, "godwitbarrow_reads_total",
+        "Completed reads by the role of the member that served them");
     it.reads[0] = &reads.Add({{"role", "replica"}});
     it.reads[1] = &reads.Add({{"role", "primary"}});
 }
 
 prometheus::Gauge* add_gauge(metrics& to, const char* name, const char* help)
 {
-    return &family(to, prometheus::BuildGauge, name, help).Add({});
+    return &family(to.registry, prometheus::BuildGauge, name, help).Add({});
 }
 
 void add_state_metrics(metrics& it)
@@ -136,15 +142,15 @@
 
 void add_labelled_metrics(metrics& it)
 {
-    it.failover_steps = &family(it, prometheus::BuildCounter,
+    it.failover_steps = &family(it.registry, prometheus::BuildCounter,
                                 "godwitbarrow_failover_steps_total",
                                 "Steps of failovers by name");
-    it.store_errors =
-        &family(it, prometheus::BuildCounter, "godwitbarrow_store_errors_total",
-                "Failed calls to the platform by operation");
-    it.queue_length =
-        &family(it, prometheus::BuildGauge, "godwitbarrow_queue_length",
-                "Requests that wait for a slot, by server and rank");
+    it.store_errors = &family(it.registry, prometheus::BuildCounter,
+                              "godwitbarrow_store_errors_total",
+                              "Failed calls to the platform by operation");
+    it.queue_length = &family(
+        it.registry, prometheus::BuildGauge, "godwitbarrow_queue_length",
+        "Requests that wait for a slot, by server and rank");
 }
 
 prometheus::Labels queue_labels(const core::server_id& server, core::rank it)
@@ -267,7 +273,10 @@
 
 std::string expose(const metrics& of)
 {
-    return prometheus::TextSerializer().Serialize(of.registry.Collect());
+    auto all = of.latency_registry.Collect();
+    auto others = of.registry.Collect();
+    std::move(others.begin(), others.end(), std::back_inserter(all));
+    return prometheus::TextSerializer().Serialize(all);
 }
 
 }  // namespace godwitbarrow::telemetry
--- /dev/null
+++ b/libs/telemetry/test/metrics_test.cpp
@@ -0,0 +1,120 @@
+#include "godwitbarrow/telemetry/metrics.hpp"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "godwitbarrow/telemetry/exposition.hpp"
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::telemetry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using labels = std::map<std::string, std::string>;
+
+/// Value of one series, or -1 if it is absent.
+double value(const metrics& of, const std::string& name,
+             const labels& with = {})
+{
+    const auto scrape = std::get<exposition>(parse_exposition(expose(of)));
+    for (const auto& it : scrape)
+        if (it.name == "godwitbarrow_" + name && it.labels == with)
+            return it.value;
+    return -1;
+}
+
+request_result result_of(core::error_kind it)
+{
+    return classify(core::not_run{{it, ""}, {}});
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(a_process_counts_its_work)
+
+// Guards against a metric under another name or label than operators query.
+BOOST_AUTO_TEST_CASE(each_metric_appears_in_the_exposition)
+{
+    const auto it = make_metrics();
+    count_request(*it, core::rank::urgent, request_result::completed, 30ms);
+    count_request(*it, core::rank::urgent, request_result::not_run, 1ms);
+    count_read(*it, core::member_role::replica);
+    count_failover_step(*it, "claimed");
+    set_settings_generation(*it, 12);
+    count_store_error(*it, "put_row");
+    count_retry(*it, core::rank::deferred);
+    set_draining(*it, true);
+    set_gateway_load(*it, 3, 4);
+    BOOST_TEST(value(*it, "requests_total",
+                     {{"rank", "urgent"}, {"result", "completed"}}) == 1);
+    BOOST_TEST(
+        value(*it, "request_latency_seconds_count", {{"rank", "urgent"}}) == 1);
+    BOOST_TEST(value(*it, "reads_total", {{"role", "replica"}}) == 1);
+    BOOST_TEST(value(*it, "failover_steps_total", {{"step", "claimed"}}) == 1);
+    BOOST_TEST(value(*it, "settings_generation") == 12);
+    BOOST_TEST(value(*it, "store_errors_total", {{"operation", "put_row"}}) ==
+               1);
+    BOOST_TEST(value(*it, "retries_total", {{"rank", "deferred"}}) == 1);
+    BOOST_TEST(value(*it, "draining") == 1);
+    BOOST_TEST(value(*it, "requests_in_flight") == 3);
+    BOOST_TEST(value(*it, "caller_connections") == 4);
+}
+
+// Guards against queue lengths of servers that moved to another owner.
+BOOST_AUTO_TEST_CASE(the_queues_of_a_forgotten_server_disappear)
+{
+    const auto it = make_metrics();
+    const labels queue{{"server", "s1"}, {"rank", "urgent"}};
+    set_queue_length(*it, {"s1"}, core::rank::urgent, 5);
+    BOOST_TEST(value(*it, "queue_length", queue) == 5);
+    forget_server(*it, {"s1"});
+    forget_server(*it, {"s2"});
+    BOOST_TEST(value(*it, "queue_length", queue) == -1);
+}
+
+// Guards against an objective that callers can burn with faulty requests.
+BOOST_AUTO_TEST_CASE(faults_of_the_caller_are_invalid)
+{
+    BOOST_TEST((result_of(core::error_kind::malformed_request) ==
+                request_result::invalid));
+    BOOST_TEST((result_of(core::error_kind::statement_failed) ==
+                request_result::invalid));
+    BOOST_TEST(
+        (result_of(core::error_kind::overloaded) == request_result::not_run));
+    BOOST_TEST((classify(core::outcome_unknown{}) == request_result::unknown));
+    BOOST_TEST((classify(core::completed{}) == request_result::completed));
+}
+
+// Guards against a data race between workers and a scrape.
+BOOST_AUTO_TEST_CASE(workers_count_while_a_scrape_runs)
+{
+    const auto it = make_metrics();
+    const auto work = [&]
+    {
+        for (int n = 0; n < 200; ++n)
+        {
+            count_request(*it, core::rank::urgent, request_result::completed,
+                          1ms);
+            set_queue_length(*it, {"s1"}, core::rank::urgent, 1);
+            forget_server(*it, {"s1"});
+        }
+    };
+    std::array<std::thread, 3> workers;
+    for (auto& t : workers)
+        t = std::thread(work);
+    for (int n = 0; n < 20; ++n)
+    {
+        const auto text = std::get<exposition>(parse_exposition(expose(*it)));
+        const auto now = sample_from(text, {}, {}).by_rank[0];
+        BOOST_TEST(now.good <= now.total);
+    }
+    for (auto& t : workers)
+        t.join();
+    BOOST_TEST(value(*it, "requests_total",
+                     {{"rank", "urgent"}, {"result", "completed"}}) == 600);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
