--- a/libs/gateway/src/http_session.cpp
+++ b/libs/gateway/src/http_session.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include "godwitbarrow/gateway/codec.hpp"
 
@@ -27,159 +28,7 @@
 {
 
 constexpr std::size_t read_bytes = 4096;
-constexpr unsigned http_request_timeout = 408;
-constexpr unsigned http_header_too_large = 431;
-
-void expire(const session_ptr& it);
-
-void set_timer(const session_ptr& it, core::duration timeout)
-{
-    it->timer.expires_after(timeout);
-    it->timer.async_wait(
-        [it, epoch = ++it->timer_epoch](const error_code& ec)
-        {
-            if (!ec && epoch == it->timer_epoch)
-                expire(it);
-        });
-}
-
-void cancel_timer(const session_ptr& it)
-{
-    ++it->timer_epoch;
-    it->timer.cancel();
-}
-
-void expire(const session_ptr& it)
-{
-    if (it->phase != session_phase::reading)
-        return close_session(it);
-    // The pending read ends with an error and then sends the reply.
-    it->read_timed_out = true;
-    error_code ec;
-    it->socket.cancel(ec);
-}
-
-void discard_input(const session_ptr& it)
-{
-    it->socket.async_read_some(
-        asio::buffer(it->discarded),
-        [it](const error_code& ec, std::size_t)
-        {
-            if (ec || it->phase != session_phase::lingering)
-                return close_session(it);
-            discard_input(it);
-        });
-}
-
-void linger(const session_ptr& it)
-{
-    it->phase = session_phase::lingering;
-    set_timer(it, it->server->limits.linger_timeout);
-    error_code ec;
-    it->socket.shutdown(tcp::socket::shutdown_send, ec);
-    discard_input(it);
-}
-
-void wait_for_request(const session_ptr& it, core::duration timeout);
-
-void after_write(const session_ptr& it, const error_code& ec,
-                 bool was_in_flight)
-{
-    if (was_in_flight)
-        --it->server->in_flight;
-    if (it->phase != session_phase::writing)
-        return;
-    it->response = {};
-    if (ec)
-        return close_session(it);
-    if (!it->keep_alive)
-        return linger(it);
-    wait_for_request(it, it->server->limits.keep_alive_idle_timeout);
-}
-
-void fill_response(const session_ptr& it, http_reply reply)
-{
-    auto& out = it->response;
-    out.version(it->http_version);
-    out.result(reply.status);
-    out.set(http::field::content_type, reply.content_type);
-    if (!reply.request_id.empty())
-        out.set("X-Request-Id", reply.request_id);
-    if (!reply.allow.empty())
-        out.set(http::field::allow, reply.allow);
-    if (reply.retry_after.count() > 0)
-        out.set(http::field::retry_after,
-                std::to_string(reply.retry_after.count()));
-    out.keep_alive(it->keep_alive);
-    if (!it->head_only)
-        out.body() = std::move(reply.body);
-    out.prepare_payload();
-}
-
-void write(const session_ptr& it, http_reply reply)
-{
-    const bool was_in_flight = it->phase == session_phase::in_flight;
-    it->phase = session_phase::writing;
-    if (it->server->draining)
-        it->keep_alive = false;
-    fill_response(it, std::move(reply));
-    set_timer(it, it->server->limits.answer_write_timeout);
-    http::async_write(it->socket, it->response,
-                      [it, was_in_flight](const error_code& ec, std::size_t)
-                      { after_write(it, ec, was_in_flight); });
-}
-
-/// The id of a request whose header has arrived, or a new one.
-core::request_id id_for_error(const session_ptr& it)
-{
-    std::string_view given;
-    if (it->parser && it->parser->is_header_done())
-    {
-        const auto field = it->parser->get()["X-Request-Id"];
-        given = {field.data(), field.size()};
-    }
-    auto id = resolve_request_id(given, it->server->limits.execute);
-    if (!core::ok(id))
-        id = resolve_request_id({}, it->server->limits.execute);
-    return std::get<core::request_id>(id);
-}
-
-/// Answers a request that was not read to its end, and ends the connection.
-void reject(const session_ptr& it, core::error_kind kind, unsigned status,
-            std::string message)
-{
-    it->keep_alive = false;
-    write(it,
-          error_reply(id_for_error(it), {kind, std::move(message)}, status));
-}
-
-void reject_slow(const session_ptr& it)
-{
-    const auto limit = it->server->limits.request_read_timeout;
-    reject(it, core::error_kind::deadline_exceeded, http_request_timeout,
-           "the request did not arrive whole within " +
-               std::to_string(limit.count()) +
-               " ms; send it faster or check the network");
-}
-
-void reject_unparsable(const session_ptr& it, const error_code& ec)
-{
-    const auto& limits = it->server->limits;
-    if (ec == http::error::body_limit)
-        return reject(it, core::error_kind::request_too_large,
-                      http_status(core::error_kind::request_too_large),
-                      "the body exceeds " + std::to_string(limits.body_bytes) +
-                          " bytes; send a smaller statement");
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow)
-        return reject(
-            it, core::error_kind::request_too_large, http_header_too_large,
-            "the header exceeds " + std::to_string(limits.header_bytes) +
-                " bytes; send fewer or shorter fields");
-    reject(it, core::error_kind::malformed_request,
-           http_status(core::error_kind::malformed_request),
-           "the request is not valid HTTP/1.1 (" + ec.message() +
-               "); correct the client");
-}
+constexpr unsigned http_version_11 = 11;
 
 void watch_caller(const session_ptr& it);
 
@@ -270,7 +119,7 @@
     parse(it);
 }
 
-void read_more(const session_ptr& it)
+void read_some(const session_ptr& it)
 {
     const auto room = it->input.max_size() - it->input.size();
     if (room == 0)
@@ -280,12 +129,41 @@
                                { after_read(it, ec, n); });
 }
 
+/// Whether the caller holds back the body until it is told to go on.
+bool awaits_continue(const session_ptr& it)
+{
+    if (it->continue_sent || !it->parser->is_header_done())
+        return false;
+    const auto& header = it->parser->get();
+    return header.version() >= http_version_11 &&
+           boost::beast::iequals(header[http::field::expect], "100-continue");
+}
+
+void read_more(const session_ptr& it)
+{
+    constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+    if (!awaits_continue(it))
+        return read_some(it);
+    it->continue_sent = true;
+    asio::async_write(it->socket, asio::buffer(go_on),
+                      [it](const error_code& ec, std::size_t)
+                      {
+                          if (it->phase != session_phase::reading)
+                              return;
+                          if (it->read_timed_out || ec)
+                              return close_session(it);
+                          read_some(it);
+                      });
+}
+
 void read_request(const session_ptr& it)
 {
     it->phase = session_phase::reading;
     const auto& limits = it->server->limits;
     if (!std::exchange(it->first_request, false))
         set_timer(it, limits.request_read_timeout);
+    it->continue_sent = false;
+    it->head_only = false;
     it->parser.emplace();
     it->parser->eager(true);
     it->parser->header_limit(static_cast<std::uint32_t>(limits.header_bytes));
@@ -293,6 +171,8 @@
     parse(it);
 }
 
+}  // namespace
+
 void wait_for_request(const session_ptr& it, core::duration timeout)
 {
     if (it->input.size() > 0)
@@ -315,6 +195,9 @@
                           });
 }
 
+namespace
+{
+
 void answer(const session_ptr& it, exchange_number exchange, http_reply reply)
 {
     if (it->phase != session_phase::in_flight || it->exchange != exchange)
--- a/libs/gateway/src/http_session.hpp
+++ b/libs/gateway/src/http_session.hpp
@@ -38,6 +38,7 @@
     session_phase phase = session_phase::idle;
     bool first_request = true;
     bool read_timed_out = false;
+    bool continue_sent = false;
     bool refused = false;
     boost::beast::flat_buffer input;
     std::optional<
@@ -60,6 +61,24 @@
 void close_if_idle(const session_ptr& it);
 void close_session(const session_ptr& it);
 
+/// Reads the next request; closes the connection if its first byte does not
+/// arrive within `timeout`.
+void wait_for_request(const session_ptr& it, core::duration timeout);
+
+/// Ends the current phase with an error or by closing the connection.
+void set_timer(const session_ptr& it, core::duration timeout);
+void cancel_timer(const session_ptr& it);
+
+/// Sends the reply, and then reads the next request or ends the connection.
+void write(const session_ptr& it, http_reply reply);
+
+/// Answers a request that was not read to its end, and ends the connection.
+void reject(const session_ptr& it, core::error_kind kind, unsigned status,
+            std::string message);
+void reject_slow(const session_ptr& it);
+void reject_unparsable(const session_ptr& it,
+                       const boost::system::error_code& ec);
+
 /// Removes a closed session from the table of the server.
 void forget(const session_ptr& it);
 
--- a/libs/gateway/test/server_test.cpp
+++ b/libs/gateway/test/server_test.cpp
@@ -112,6 +112,20 @@
     BOOST_TEST(it.receive().result_int() == 200U);
 }
 
+// Guards against a second of delay for clients that ask before they send a
+// body.
+BOOST_AUTO_TEST_CASE(a_caller_that_expects_100_continue_is_told_to_go_on)
+{
+    start({echo, {}});
+    auto it = connect();
+    const auto whole = post(read_body, "Expect: 100-continue\r\n");
+    const auto header = whole.size() - read_body.size();
+    it.send(whole.substr(0, header));
+    BOOST_TEST(it.receive().result_int() == 100U);
+    it.send(whole.substr(header));
+    BOOST_TEST(it.receive().result_int() == 200U);
+}
+
 // Guards against a caller that waits for ever when a request is lost inside.
 BOOST_AUTO_TEST_CASE(a_request_that_the_handler_drops_is_unknown)
 {
--- a/libs/peer/src/link_state.hpp
+++ b/libs/peer/src/link_state.hpp
@@ -11,7 +11,8 @@
 namespace godwitbarrow::peer
 {
 
-/// All members without `atomic` are used on the strand of `socket` only.
+/// Members other than the atomics and `remote` are used on the strand of
+/// `socket` only. `remote` does not change once other threads have the link.
 struct link
 {
     link(boost::asio::ip::tcp::socket s, const link_limits& l)
