--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <random>
 
+#include "godwitbarrow/peer/generated/peer_generated.h"
+
 using namespace godwitbarrow;
 using namespace godwitbarrow::peer;
 using namespace std::chrono_literals;
@@ -289,6 +291,21 @@
     BOOST_TEST(core::ok(decode(buf.data() + 1, buf.size() - 1)));
 }
 
+// Guards against a small frame that expands to gigabytes, because many fields
+// may refer to one long string.
+BOOST_AUTO_TEST_CASE(strings_longer_in_sum_than_the_message_are_rejected)
+{
+    flatbuffers::FlatBufferBuilder to;
+    const auto shared = to.CreateString(std::string(100'000, 'x'));
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> all(1000,
+                                                                    shared);
+    const auto names = to.CreateVector(all);
+    const auto body = wire::Createsummary(to, 1, 2, 3, names).Union();
+    wire::FinishenvelopeBuffer(
+        to, wire::Createenvelope(to, wire::body::body_summary, body));
+    BOOST_TEST(is_protocol_error(decode(to.GetBufferPointer(), to.GetSize())));
+}
+
 BOOST_AUTO_TEST_CASE(a_chunk_beyond_its_count_is_rejected)
 {
     const auto buf = encode(settings_delta{1, 2, 3, 3, {}, {}, "d"});
