Answer a repeated commit truthfully after a restart of its host

Found by reading the code while writing the oracle for it: a host that had restarted told a repeated commit that the transaction was rolled back, although the commit may have run.

--- a/libs/serving/include/godwitbarrow/serving/state.hpp
+++ b/libs/serving/include/godwitbarrow/serving/state.hpp
@@ -155,6 +155,11 @@
     /// Transactions whose commit was sent, oldest first. A repeated commit
     /// must not be told "not run".
     std::deque<core::transaction_id> ended;
+    /// Highest number of a transaction that was dropped from `ended`.
+    std::uint64_t ended_before = 0;
+    /// The upper half differs between the runs of the process, so that an id
+    /// of an earlier run never names a transaction of this one.
+    std::uint64_t next_transaction = 0;
     session::primary_history history;
     admission::retry_budget budget;
     /// Moving average of the time from a write's reply to its majority.
--- a/libs/serving/src/internal.hpp
+++ b/libs/serving/src/internal.hpp
@@ -133,6 +133,9 @@
 void roll_back_idle(context& ctx);
 core::error transaction_lost(const std::string& why);
 
+/// Bits of a transaction number that count; those above identify the run.
+constexpr unsigned transaction_bits = 32;
+
 // connections.cpp
 
 void on_opened(context& ctx, const connection_opened& it);
--- a/libs/serving/src/state.cpp
+++ b/libs/serving/src/state.cpp
@@ -1,5 +1,7 @@
 #include "godwitbarrow/serving/state.hpp"
 
+#include "internal.hpp"
+
 namespace godwitbarrow::serving
 {
 namespace detail
@@ -31,6 +33,8 @@
 {
     group_state state;
     state.random = seed;
+    state.next_transaction = detail::next_random(state.random) &
+                             ~((1ULL << detail::transaction_bits) - 1);
     state.budget.available = settings.retry.burst;
     apply_settings(state, settings);
     return state;
--- a/libs/serving/src/transactions.cpp
+++ b/libs/serving/src/transactions.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "internal.hpp"
@@ -15,33 +16,53 @@
 /// Ended transactions that are remembered; bounds the memory.
 constexpr std::size_t max_ended = 4096;
 
-bool begun_here(const group_state& state, const core::transaction_id& id)
+/// Absent if the id was not made by a host of this name.
+std::optional<std::uint64_t> number_of(const group_state& state,
+                                       const core::transaction_id& id)
 {
     const auto prefix = state.settings.self.value + "/";
-    return id.value.compare(0, prefix.size(), prefix) == 0;
+    if (id.value.compare(0, prefix.size(), prefix) != 0)
+        return std::nullopt;
+    std::uint64_t n = 0;
+    const auto end = id.value.data() + id.value.size();
+    const auto it = std::from_chars(id.value.data() + prefix.size(), end, n);
+    if (it.ec != std::errc{} || it.ptr != end)
+        return std::nullopt;
+    return n;
 }
 
-verdict examine_missing(const group_state& state,
-                        const core::transaction_id& id)
+/// Whether this run knows that no commit of the transaction was sent.
+bool surely_not_committed(const group_state& state,
+                          const core::transaction_id& id, std::uint64_t n)
 {
     const auto& ended = state.ended;
-    if (std::find(ended.begin(), ended.end(), id) != ended.end())
+    const bool this_run =
+        n >> transaction_bits == state.next_transaction >> transaction_bits;
+    return this_run && n > state.ended_before &&
+           std::find(ended.begin(), ended.end(), id) == ended.end();
+}
+
+verdict examine_missing(const group_state& state, const tracked_request& it)
+{
+    const auto& id = *it.request.transaction;
+    const auto n = number_of(state, id);
+    if (!n)
         return {ruling::refuse,
-                {error_kind::transaction_lost,
-                 "commit of transaction " + id.value +
-                     " was sent before; read the data to learn whether it "
-                     "took effect"},
-                {},
-                {},
-                {},
-                true};
-    if (begun_here(state, id))
+                {error_kind::unknown_transaction,
+                 "no transaction " + id.value +
+                     " is open here; send its statements with the id that "
+                     "begin returned"}};
+    if (surely_not_committed(state, id, *n))
         return {ruling::refuse, transaction_lost("it is no longer open")};
     return {ruling::refuse,
-            {error_kind::unknown_transaction,
-             "no transaction " + id.value +
-                 " is open here; send its statements with the id that begin "
-                 "returned"}};
+            {error_kind::transaction_lost,
+             "transaction " + id.value +
+                 " has ended and its commit may have been sent before; read "
+                 "the data to learn whether it took effect"},
+            {},
+            {},
+            {},
+            it.request.access == core::access_mode::commit};
 }
 
 std::size_t open_transactions(const group_state& state,
@@ -64,7 +85,7 @@
 core::transaction_id new_transaction_id(group_state& state)
 {
     return {state.settings.self.value + "/" +
-            std::to_string(next_random(state.random))};
+            std::to_string(state.next_transaction++)};
 }
 
 }  // namespace
@@ -86,7 +107,7 @@
     const auto& all = ctx.state.transactions;
     const auto found = all.find(*it.request.transaction);
     if (found == all.end())
-        return examine_missing(ctx.state, *it.request.transaction);
+        return examine_missing(ctx.state, it);
     const auto& active = found->second.active;
     if (active && *active != it.request.id &&
         ctx.state.requests.at(*active).internal)
@@ -154,9 +175,13 @@
 
 void note_commit_sent(context& ctx, const core::transaction_id& id)
 {
-    ctx.state.ended.push_back(id);
-    if (ctx.state.ended.size() > max_ended)
-        ctx.state.ended.pop_front();
+    auto& state = ctx.state;
+    state.ended.push_back(id);
+    if (state.ended.size() <= max_ended)
+        return;
+    const auto n = number_of(state, state.ended.front()).value_or(0);
+    state.ended_before = std::max(state.ended_before, n);
+    state.ended.pop_front();
 }
 
 void start_rollback(context& ctx, const core::transaction_id& id)
--- a/libs/serving/test/fuzz_test.cpp
+++ b/libs/serving/test/fuzz_test.cpp
@@ -17,6 +17,7 @@
     repeat_key,
     read,
     bounded_read,
+    slow_read,
     begin,
     statement,
     commit,
@@ -109,14 +110,30 @@
     issue(it, by, request);
 }
 
+/// The reply is late while others write.
+void slow_read(world& it, command by)
+{
+    it.faults.push_front(fault::slow);
+    by.c = by.c / 4 * 4 + 2;
+    read(it, by, true);
+    it.run_for(10ms);
+    by.b = 0;
+    write(it, by, false);
+    it.run_for(100ms);
+}
+
 void in_transaction(world& it, const command& by, core::access_mode access)
 {
     const auto session = by.a % session_count;
     const auto& of_session = it.sessions[session];
-    if (!of_session.transaction)
+    // A caller without an answer repeats the commit.
+    const bool repeats = access == core::access_mode::commit;
+    const auto transaction =
+        repeats ? of_session.last_transaction : of_session.transaction;
+    if (!transaction)
         return;
     auto request = request_of(it, by, access);
-    request.transaction = of_session.transaction;
+    request.transaction = transaction;
     it.issue(session, of_session.transaction_host, by.b % member_count,
              request);
 }
@@ -233,6 +250,8 @@
             return read(it, by, false);
         case step::bounded_read:
             return read(it, by, true);
+        case step::slow_read:
+            return slow_read(it, by);
         case step::begin:
             issue(it, by, request_of(it, by, core::access_mode::begin));
             return;
@@ -284,14 +303,15 @@
 {
     // Requests and short waits are much more frequent than faults.
     static const std::vector<std::pair<std::size_t, step>> weights{
-        {6, step::write},       {5, step::keyed_write},  {2, step::repeat_key},
-        {6, step::read},        {5, step::bounded_read}, {4, step::begin},
-        {6, step::statement},   {4, step::commit},       {1, step::roll_back},
-        {6, step::transaction}, {1, step::flood},        {16, step::wait},
-        {2, step::wait_long},   {5, step::add_fault},    {1, step::silence},
-        {2, step::pause},       {1, step::cut},          {2, step::promote},
-        {1, step::split},       {2, step::follow},       {1, step::leave},
-        {1, step::own},         {1, step::go_away},      {1, step::restart}};
+        {6, step::write},     {5, step::keyed_write},  {2, step::repeat_key},
+        {6, step::read},      {5, step::bounded_read}, {2, step::slow_read},
+        {4, step::begin},     {6, step::statement},    {4, step::commit},
+        {1, step::roll_back}, {6, step::transaction},  {1, step::flood},
+        {16, step::wait},     {2, step::wait_long},    {5, step::add_fault},
+        {1, step::silence},   {2, step::pause},        {1, step::cut},
+        {2, step::promote},   {1, step::split},        {2, step::follow},
+        {1, step::leave},     {1, step::own},          {1, step::go_away},
+        {1, step::restart}};
     std::vector<step> all;
     for (const auto& [weight, it] : weights)
         all.insert(all.end(), weight, it);
--- a/libs/serving/test/oracle_test.cpp
+++ b/libs/serving/test/oracle_test.cpp
@@ -67,6 +67,7 @@
     if (access == core::access_mode::begin)
     {
         session.transaction = result.transaction;
+        session.last_transaction = result.transaction;
         session.transaction_host = it.host;
     }
     if (access == core::access_mode::read)
@@ -180,6 +181,12 @@
     const bool unknown = any(calls, core::access_mode::commit, told::unknown);
     for (const auto* it : calls)
     {
+        const bool told_lost =
+            it->rolled_back && it->request.access == core::access_mode::commit;
+        for (const auto* other : calls)
+            if (told_lost && model.executions[other->request.statement] > 0)
+                violate("P5: " + it->request.id.value +
+                        " was told that committed work was rolled back");
         if (it->request.access != core::access_mode::statement)
             continue;
         const auto& operation = it->request.statement;
--- a/libs/serving/test/world.hpp
+++ b/libs/serving/test/world.hpp
@@ -47,6 +47,8 @@
     std::size_t session = 0;
     std::size_t host = 0;
     told result = told::nothing;
+    /// Told that the transaction was rolled back.
+    bool rolled_back = false;
     int answers = 0;
     /// Writes acknowledged to the session before the request was made.
     std::vector<std::string> must_see;
@@ -58,6 +60,7 @@
     std::optional<core::log_position> token;
     std::vector<std::string> acknowledged;
     std::optional<core::transaction_id> transaction;
+    std::optional<core::transaction_id> last_transaction;
     std::size_t transaction_host = 0;
 };
 
--- a/libs/serving/test/world_test.cpp
+++ b/libs/serving/test/world_test.cpp
@@ -178,8 +178,9 @@
                       : told::unknown);
     auto& session = sessions[known.session];
     const auto* refused = std::get_if<core::not_run>(&it.result);
-    const bool goes_on =
-        refused && refused->reason.kind != core::error_kind::transaction_lost;
+    known.rolled_back =
+        refused && refused->reason.kind == core::error_kind::transaction_lost;
+    const bool goes_on = refused && !known.rolled_back;
     if (known.request.transaction == session.transaction && !goes_on)
         session.transaction.reset();
 }
