Require service after healing in the fuzzed histories

After all faults end, each host must acknowledge a write and serve the session's read from a replica, which shows leaked slots or connections.

--- a/libs/serving/test/oracle_test.cpp
+++ b/libs/serving/test/oracle_test.cpp
@@ -72,6 +72,9 @@
     }
     if (access == core::access_mode::read)
         check_read(it, result);
+    const bool writes = core::is_write(access);
+    if (writes && result.at.term != hosts[it.host].state.view.term)
+        violate("P2: " + it.request.id.value + " was acknowledged late");
     if (access == core::access_mode::write)
     {
         check_acknowledged(it);
@@ -142,7 +145,39 @@
     }
     for (std::size_t n = 0; n < member_count; ++n)
         follow(model, n);
-    run_for(30s);
+    // Longer than the idle limit of a transaction and its rollback.
+    run_for(15s);
+    for (std::size_t n = 0; n < host_count; ++n)
+        check_service(n);
+    run_for(1s);
+}
+
+/// A host without faults serves writes and reads again.
+void world::check_service(std::size_t host)
+{
+    std::vector<core::server_id> owned;
+    for (std::size_t n = 0; n < member_count; ++n)
+    {
+        owned.push_back(server_name(n));
+        give(host, serving::server_leaving{server_name(n), false});
+    }
+    hosts[host].leaving.clear();
+    give(host, serving::ownership_changed{owned});
+    run_for(500ms);
+    core::request request;
+    request.deadline = now + 3s;
+    request.statement = "s0:last" + std::to_string(host);
+    request.access = core::access_mode::write;
+    const auto& write = issue(0, host, model.primary, request);
+    run_for(500ms);
+    request.access = core::access_mode::read;
+    request.deadline = now + 3s;
+    request.token = sessions[0].token;
+    const auto& read =
+        issue(0, host, (model.primary + 1) % member_count, request);
+    run_for(500ms);
+    if (write.result != told::completed || read.result != told::completed)
+        violate("h" + std::to_string(host) + " does not serve after healing");
 }
 
 int world::count_in_log(const std::string& operation) const
--- a/libs/serving/test/world.hpp
+++ b/libs/serving/test/world.hpp
@@ -136,6 +136,7 @@
     void check_read(const call& it, const core::completed& result);
     void check_acknowledged(const call& it);
     void heal();
+    void check_service(std::size_t host);
     void check_end();
     void check_write(const std::string& operation,
                      const std::vector<const call*>& calls);
