--- a/libs/failover/test/safety_test.cpp
+++ b/libs/failover/test/safety_test.cpp
@@ -64,6 +64,8 @@
 {
     sim::conditions how;
     how.seed = seed;
+    // Short, so that runs of some seconds see it.
+    how.row_review = 4s;
     how.data_path_reports = seed % 2 == 0;
     auto w = sim::make_world(how);
     for (const auto& it : plan)
--- a/libs/failover/test/sim/world.hpp
+++ b/libs/failover/test/sim/world.hpp
@@ -38,6 +38,7 @@
     milliseconds poll_wait{250};
     milliseconds write_interval{10};
     milliseconds connect_timeout{300};
+    milliseconds row_review{300000};
     /// Hosts report failures of their data path.
     bool data_path_reports = true;
     /// Roles follow the hosts that each host reaches.
