--- a/libs/membership/include/godwitbarrow/membership/state.hpp
+++ b/libs/membership/include/godwitbarrow/membership/state.hpp
@@ -95,6 +95,7 @@
     hosts_changed announced;
     /// Something that `announced` depends on changed.
     bool hosts_dirty = true;
+    core::time_point next_announcement;
     std::set<core::server_id> leaving_servers;
 };
 
--- a/libs/membership/src/answer.cpp
+++ b/libs/membership/src/answer.cpp
@@ -82,16 +82,24 @@
     append(reply, reply.content.chunks, chunk);
 }
 
-/// Items of the buckets whose digests differ. As complete buckets agree
-/// afterwards, later requests reach the buckets that did not fit.
+/// Items of the buckets whose digests differ, beginning at a place that
+/// depends on `seed`, so that the answers of several hosts differ. As complete
+/// buckets agree afterwards, later requests get what did not fit.
 template <class Items, class List>
 void add_differing(const Items& items, const digests& own,
-                   const digests& theirs, message& reply, List& list)
+                   const digests& theirs, std::uint64_t seed, message& reply,
+                   List& list)
 {
-    for (const auto& [key, item] : items)
+    if (items.empty() || own == theirs)
+        return;
+    const auto skipped = static_cast<std::ptrdiff_t>(seed % items.size());
+    auto it = std::next(items.begin(), skipped);
+    for (std::size_t i = 0; i < items.size(); ++i, ++it)
     {
-        const auto bucket = bucket_of(key.value);
-        if (own[bucket] != theirs[bucket] && !append(reply, list, item))
+        if (it == items.end())
+            it = items.begin();
+        const auto bucket = bucket_of(it->first.value);
+        if (own[bucket] != theirs[bucket] && !append(reply, list, it->second))
             return;
     }
 }
@@ -108,9 +116,10 @@
     if (what.hosts_version < it.hosts.version &&
         !add_host_deltas(it, reply, what.hosts_version))
         add_host_chunk(it, reply, what);
-    add_differing(it.views, it.view_digests, what.views, reply,
+    const auto seed = hash_of(it.self.host.value, it.round);
+    add_differing(it.views, it.view_digests, what.views, seed, reply,
                   reply.content.views);
-    add_differing(it.reports, it.report_digests, what.reports, reply,
+    add_differing(it.reports, it.report_digests, what.reports, seed, reply,
                   reply.content.reports);
     if (count_items(reply.content) != 0)
         at.out.push_back(send_news{from, reply.content});
--- a/libs/membership/src/decide.cpp
+++ b/libs/membership/src/decide.cpp
@@ -33,7 +33,9 @@
     detail::heard_from(at, what.from);
     const bool catch_up =
         detail::count_items(what.content) > at.it.bounds.pushed_items;
-    const auto outbox = at.it.outbox;
+    news kept;
+    if (catch_up)
+        std::swap(kept, at.it.outbox);
     for (const auto& delta : what.content.settings)
         detail::take_settings(at, delta);
     for (const auto& delta : what.content.hosts)
@@ -45,8 +47,12 @@
             at.out.push_back(apply_view{view});
     for (const auto& report : what.content.reports)
         detail::take_report(at, report);
+    const bool something_new = detail::count_items(at.it.outbox) != 0;
     if (catch_up)
-        at.it.outbox = outbox;
+        at.it.outbox = std::move(kept);
+    // A message that is nearly full may have left something out.
+    if (something_new && size_of(what.content) > at.it.bounds.largest_news / 2)
+        detail::request_news(at, what.from);
 }
 
 void apply(step& at, const probe_requested& what)
@@ -122,6 +128,7 @@
     it.next_round = now;
     it.next_host_list = now;
     it.next_push = now;
+    it.next_announcement = now;
     std::vector<action> ignored;
     step at{it, now, ignored};
     detail::publish_report(at, {});
--- a/libs/membership/src/hosts.cpp
+++ b/libs/membership/src/hosts.cpp
@@ -169,12 +169,16 @@
 void announce_hosts(step& at)
 {
     auto& it = at.it;
-    if (!std::exchange(it.hosts_dirty, false))
+    if (!it.hosts_dirty || at.now < it.next_announcement)
         return;
+    it.hosts_dirty = false;
+    it.next_announcement = at.now + it.bounds.tick_interval;
     hosts_changed current;
     auto directory = it.directory;
-    directory[it.self.host] = it.self;
-    directory[it.self.host].leaving = it.leaving;
+    // A host that the list lacks so far still serves.
+    directory.emplace(it.self.host, it.self);
+    if (it.leaving)
+        directory[it.self.host].leaving = true;
     for (const auto& [name, host] : directory)
         if (usable(it, host))
             current.hosts.push_back(host);
--- a/libs/membership/src/peers.cpp
+++ b/libs/membership/src/peers.cpp
@@ -58,8 +58,12 @@
 {
     auto& it = at.it;
     it.waiting_for.erase(host);
-    if (it.silent.erase(host) != 0)
+    if (!it.silent.empty())
+    {
+        // Somebody answers again, so the silence may have been this host's.
+        it.silent.clear();
         it.hosts_dirty = true;
+    }
     const auto report = it.reports.find(host);
     if (report == it.reports.end() || !report->second.suspected)
         return;
