--- a/libs/failover/test/safety_test.cpp
+++ b/libs/failover/test/safety_test.cpp
@@ -19,6 +19,8 @@
     std::chrono::milliseconds length;
 };
 
+// rapidcheck fixes the name.
+// NOLINTNEXTLINE(readability-identifier-naming)
 void showValue(const planned_fault& it, std::ostream& os)
 {
     os << "{" << it.at.count() << " ms, kind " << it.kind << ", target "
--- a/libs/failover/test/sim/gap.cpp
+++ b/libs/failover/test/sim/gap.cpp
@@ -72,6 +72,7 @@
 core::duration median_of(const std::vector<gap>& all, core::duration gap::*part)
 {
     std::vector<core::duration> values;
+    values.reserve(all.size());
     for (const auto& it : all)
         values.push_back(it.*part);
     return at_share(values, 0.5);
@@ -152,6 +153,7 @@
     if (all.empty())
         return row;
     std::vector<core::duration> totals;
+    totals.reserve(all.size());
     for (const auto& it : all)
         totals.push_back(it.total);
     row.median = medians(all);
--- a/libs/failover/test/sim/hosts.cpp
+++ b/libs/failover/test/sim/hosts.cpp
@@ -337,6 +337,7 @@
 {
     auto& host = w.hosts[h];
     std::vector<core::server_id> names;
+    names.reserve(member_count);
     for (int m = 0; m < member_count; ++m)
         names.push_back(server_name(m));
     host.state = make_group({"group"}, host_name(h), names, w.now);
--- a/libs/membership/include/godwitbarrow/membership/state.hpp
+++ b/libs/membership/include/godwitbarrow/membership/state.hpp
@@ -68,6 +68,8 @@
     host_list hosts;
     /// Hosts of the list; until one is known, the peers of the settings.
     std::map<core::host_id, host_entry> directory;
+    /// The hosts of `directory` by data centre.
+    std::map<core::data_centre_id, std::vector<core::host_id>> centres;
     std::deque<host_delta> host_deltas;
     std::deque<settings_delta> settings_deltas;
     std::uint64_t settings_generation = 0;
@@ -75,6 +77,8 @@
     digests view_digests{};
     std::map<core::host_id, host_report> reports;
     digests report_digests{};
+    /// Hosts whose report says that they are suspected.
+    std::set<core::host_id> suspects;
 
     list_transfer transfer;
     /// Generation handed out by `apply_settings` and not yet accepted.
--- a/libs/membership/src/decide.cpp
+++ b/libs/membership/src/decide.cpp
@@ -123,8 +123,7 @@
 {
     state it;
     it.self = self;
-    for (const auto& host : seeds)
-        it.directory[host.host] = host;
+    detail::fill_directory(it, seeds);
     it.next_round = now;
     it.next_host_list = now;
     it.next_push = now;
--- a/libs/membership/src/detail.hpp
+++ b/libs/membership/src/detail.hpp
@@ -29,6 +29,7 @@
 
 // hosts.cpp
 
+void fill_directory(state& it, const std::vector<host_entry>& hosts);
 bool suspected(const state& it, const core::host_id& host);
 /// Hosts of a data centre without this one and without suspected ones.
 std::vector<core::host_id> peers_in(const state& it,
--- a/libs/membership/src/hosts.cpp
+++ b/libs/membership/src/hosts.cpp
@@ -44,9 +44,7 @@
 {
     auto& it = at.it;
     it.hosts = std::move(list);
-    it.directory.clear();
-    for (const auto& host : it.hosts.hosts)
-        it.directory[host.host] = host;
+    fill_directory(it, it.hosts.hosts);
     it.transfer = {};
     it.hosts_dirty = true;
     forget_missing_hosts(at);
@@ -83,22 +81,32 @@
 
 }  // namespace
 
+void fill_directory(state& it, const std::vector<host_entry>& hosts)
+{
+    it.directory.clear();
+    it.centres.clear();
+    for (const auto& host : hosts)
+    {
+        it.directory[host.host] = host;
+        it.centres[host.data_centre].push_back(host.host);
+    }
+}
+
 bool suspected(const state& it, const core::host_id& host)
 {
-    if (it.silent.count(host) != 0)
-        return true;
-    const auto report = it.reports.find(host);
-    return report != it.reports.end() && report->second.suspected;
+    return it.silent.count(host) != 0 || it.suspects.count(host) != 0;
 }
 
 std::vector<core::host_id> peers_in(const state& it,
                                     const core::data_centre_id& centre)
 {
     std::vector<core::host_id> hosts;
-    for (const auto& [name, host] : it.directory)
-        if (host.data_centre == centre && name != it.self.host &&
-            !suspected(it, name))
-            hosts.push_back(name);
+    const auto found = it.centres.find(centre);
+    if (found == it.centres.end())
+        return hosts;
+    for (const auto& host : found->second)
+        if (host != it.self.host && !suspected(it, host))
+            hosts.push_back(host);
     return hosts;
 }
 
--- a/libs/membership/src/items.cpp
+++ b/libs/membership/src/items.cpp
@@ -41,6 +41,10 @@
     digest ^= digest_of(what);
     it.reports[what.host] = what;
     it.hosts_dirty = true;
+    if (what.suspected)
+        it.suspects.insert(what.host);
+    else
+        it.suspects.erase(what.host);
 }
 
 bool known_host(const state& it, const core::host_id& host)
@@ -133,6 +137,7 @@
         }
         it.report_digests[bucket_of(report->first.value)] ^=
             digest_of(report->second);
+        it.suspects.erase(report->first);
         report = it.reports.erase(report);
     }
     for (auto host = it.silent.begin(); host != it.silent.end();)
--- a/libs/membership/src/spread.cpp
+++ b/libs/membership/src/spread.cpp
@@ -19,11 +19,11 @@
 
 std::vector<core::data_centre_id> other_centres(const state& it)
 {
-    std::set<core::data_centre_id> centres;
-    for (const auto& [name, host] : it.directory)
-        if (host.data_centre != it.self.data_centre)
-            centres.insert(host.data_centre);
-    return {centres.begin(), centres.end()};
+    std::vector<core::data_centre_id> centres;
+    for (const auto& [centre, hosts] : it.centres)
+        if (centre != it.self.data_centre)
+            centres.push_back(centre);
+    return centres;
 }
 
 /// One host in each of some other data centres.
@@ -57,10 +57,8 @@
 /// A suspected host is contacted now and then, so that it is found again.
 std::vector<core::host_id> one_suspected(const state& it)
 {
-    std::vector<core::host_id> hosts;
-    for (const auto& [name, host] : it.directory)
-        if (name != it.self.host && suspected(it, name))
-            hosts.push_back(name);
+    std::vector<core::host_id> hosts(it.suspects.begin(), it.suspects.end());
+    hosts.insert(hosts.end(), it.silent.begin(), it.silent.end());
     return best_hosts(hosts, hash_of(it.self.host.value, it.round), 1);
 }
 
