--- a/libs/settings/src/units.hpp
+++ b/libs/settings/include/godwitbarrow/settings/units.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 /// Values as text: numbers with units, names and lists.
-namespace godwitbarrow::settings::detail
+namespace godwitbarrow::settings
 {
 
 std::optional<std::uint64_t> parse_count(std::string_view text);
@@ -32,4 +32,4 @@
 std::string format_size(std::uint64_t bytes);
 std::string format_number(double it);
 
-}  // namespace godwitbarrow::settings::detail
+}  // namespace godwitbarrow::settings
--- a/libs/settings/src/keys.cpp
+++ b/libs/settings/src/keys.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "units.hpp"
+#include "godwitbarrow/settings/units.hpp"
 
 namespace godwitbarrow::settings
 {
@@ -244,7 +244,7 @@
         case value_type::number:
             break;
     }
-    return detail::limits_text(it, detail::format_number);
+    return detail::limits_text(it, format_number);
 }
 
 std::string documentation_row(const key_info& it)
--- a/libs/settings/src/to_text.cpp
+++ b/libs/settings/src/to_text.cpp
@@ -1,7 +1,7 @@
 #include <string>
 
 #include "godwitbarrow/settings/settings.hpp"
-#include "units.hpp"
+#include "godwitbarrow/settings/units.hpp"
 
 namespace godwitbarrow::settings
 {
--- a/libs/settings/src/units.cpp
+++ b/libs/settings/src/units.cpp
@@ -1,4 +1,4 @@
-#include "units.hpp"
+#include "godwitbarrow/settings/units.hpp"
 
 #include <algorithm>
 #include <array>
@@ -8,7 +8,9 @@
 
 #include "godwitbarrow/settings/keys.hpp"
 
-namespace godwitbarrow::settings::detail
+namespace godwitbarrow::settings
+{
+namespace detail
 {
 namespace
 {
@@ -65,6 +67,7 @@
 }
 
 }  // namespace
+}  // namespace detail
 
 std::optional<std::uint64_t> parse_count(std::string_view text)
 {
@@ -92,7 +95,7 @@
 
 std::optional<std::chrono::milliseconds> parse_duration(std::string_view text)
 {
-    const auto n = parse_with_unit(text, duration_units);
+    const auto n = detail::parse_with_unit(text, detail::duration_units);
     if (!n)
         return std::nullopt;
     return std::chrono::milliseconds(*n);
@@ -101,7 +104,7 @@
 std::optional<std::chrono::microseconds> parse_short_duration(
     std::string_view text)
 {
-    const auto n = parse_with_unit(text, short_duration_units);
+    const auto n = detail::parse_with_unit(text, detail::short_duration_units);
     if (!n)
         return std::nullopt;
     return std::chrono::microseconds(*n);
@@ -109,7 +112,7 @@
 
 std::optional<std::uint64_t> parse_size(std::string_view text)
 {
-    return parse_with_unit(text, size_units);
+    return detail::parse_with_unit(text, detail::size_units);
 }
 
 std::optional<double> parse_percent(std::string_view text)
@@ -135,7 +138,7 @@
     while (true)
     {
         const auto comma = text.find(',');
-        parts.emplace_back(trim(text.substr(0, comma)));
+        parts.emplace_back(detail::trim(text.substr(0, comma)));
         if (comma == std::string_view::npos)
             return parts;
         text.remove_prefix(comma + 1);
@@ -144,19 +147,19 @@
 
 std::string format_duration(std::chrono::milliseconds it)
 {
-    return format_with_unit(static_cast<std::uint64_t>(it.count()),
-                            duration_units);
+    return detail::format_with_unit(static_cast<std::uint64_t>(it.count()),
+                                    detail::duration_units);
 }
 
 std::string format_short_duration(std::chrono::microseconds it)
 {
-    return format_with_unit(static_cast<std::uint64_t>(it.count()),
-                            short_duration_units);
+    return detail::format_with_unit(static_cast<std::uint64_t>(it.count()),
+                                    detail::short_duration_units);
 }
 
 std::string format_size(std::uint64_t bytes)
 {
-    return format_with_unit(bytes, size_units);
+    return detail::format_with_unit(bytes, detail::size_units);
 }
 
 std::string format_number(double it)
@@ -167,4 +170,4 @@
     return {buf.data(), ec == std::errc() ? end : buf.data()};
 }
 
-}  // namespace godwitbarrow::settings::detail
+}  // namespace godwitbarrow::settings
--- a/libs/settings/src/validate.cpp
+++ b/libs/settings/src/validate.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include "godwitbarrow/settings/keys.hpp"
-#include "units.hpp"
+#include "godwitbarrow/settings/units.hpp"
 #include "values.hpp"
 
 namespace godwitbarrow::settings::detail
--- a/libs/settings/src/values.cpp
+++ b/libs/settings/src/values.cpp
@@ -4,7 +4,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <cassert>
 
-#include "units.hpp"
+#include "godwitbarrow/settings/units.hpp"
 
 namespace godwitbarrow::settings::detail
 {
--- /dev/null
+++ b/libs/settings/test/units_test.cpp
@@ -0,0 +1,50 @@
+#include "godwitbarrow/settings/units.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include "rapidcheck.h"
+
+using namespace godwitbarrow::settings;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(a_value_with_a_unit)
+
+// Guards against a value that changes when the merged settings are printed
+// and used again.
+BOOST_AUTO_TEST_CASE(survives_printing_and_parsing)
+{
+    const auto holds = rc::check(
+        []
+        {
+            const auto n = *rc::gen::inRange<std::int64_t>(0, 1LL << 50);
+            const std::chrono::milliseconds ms(n);
+            RC_ASSERT(parse_duration(format_duration(ms)) == ms);
+            const std::chrono::microseconds us(n);
+            RC_ASSERT(parse_short_duration(format_short_duration(us)) == us);
+            const auto bytes = static_cast<std::uint64_t>(n);
+            RC_ASSERT(parse_size(format_size(bytes)) == bytes);
+        });
+    BOOST_TEST(holds);
+}
+
+// Guards against an output that nobody would write.
+BOOST_AUTO_TEST_CASE(is_printed_in_the_largest_exact_unit)
+{
+    BOOST_TEST(format_duration(90s) == "90s");
+    BOOST_TEST(format_duration(120s) == "2min");
+    BOOST_TEST(format_duration(0s) == "0ms");
+    BOOST_TEST(format_size(65536) == "64KiB");
+    BOOST_TEST(format_number(99.95) == "99.95");
+}
+
+// Guards against a number without unit or in an unknown one being guessed at.
+BOOST_AUTO_TEST_CASE(is_refused_without_or_with_another_unit)
+{
+    for (const auto* text : {"", "5", "s", "5 s", "-5s", "5m", "1.5s"})
+        BOOST_TEST(!parse_duration(text).has_value(), text);
+    BOOST_TEST(!parse_size("64KB").has_value());
+    for (const auto* text : {"", "5", "%", "-1%", "inf%", "1e3%"})
+        BOOST_TEST(!parse_percent(text).has_value(), text);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
