Use strands of a fixed type for links and HTTP connections

A trial that opened and closed 900 links under ThreadSanitizer reported a race in the reference count of any_io_executor. Boost.Asio counts with memory fences, which ThreadSanitizer does not model; the same trial is clean with a fixed strand type, where no shared executor is counted. Beast's async_write does not accept that type, so the server writes the header that Beast formats and the body with one Asio write.

--- a/libs/gateway/src/http_answer.cpp
+++ b/libs/gateway/src/http_answer.cpp
@@ -1,5 +1,8 @@
+#include <array>
+#include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/write.hpp>
+#include <sstream>
 
 #include "godwitbarrow/gateway/codec.hpp"
 #include "http_session.hpp"
@@ -56,7 +59,8 @@
         --it->server->in_flight;
     if (it->phase != session_phase::writing)
         return;
-    it->response = {};
+    it->reply_header.clear();
+    it->reply_body = {};
     if (ec)
         return close_session(it);
     if (!it->keep_alive)
@@ -64,12 +68,17 @@
     wait_for_request(it, it->server->limits.keep_alive_idle_timeout);
 }
 
-void fill_response(const session_ptr& it, http_reply reply)
+std::string header_of(const session& it, const http_reply& reply)
 {
-    auto& out = it->response;
-    out.version(it->http_version);
+    http::response_header<> out;
+    out.version(it.http_version);
     out.result(reply.status);
     out.set(http::field::content_type, reply.content_type);
+    out.set(http::field::content_length, std::to_string(reply.body.size()));
+    if (!it.keep_alive)
+        out.set(http::field::connection, "close");
+    else if (it.http_version < http_version_11)
+        out.set(http::field::connection, "keep-alive");
     if (!reply.request_id.empty())
         out.set("X-Request-Id", reply.request_id);
     if (!reply.allow.empty())
@@ -77,10 +86,9 @@
     if (reply.retry_after.count() > 0)
         out.set(http::field::retry_after,
                 std::to_string(reply.retry_after.count()));
-    out.keep_alive(it->keep_alive);
-    if (!it->head_only)
-        out.body() = std::move(reply.body);
-    out.prepare_payload();
+    std::ostringstream os;
+    os << out;
+    return os.str();
 }
 
 /// The id of a request whose header has arrived, or a new one.
@@ -123,9 +131,14 @@
     it->phase = session_phase::writing;
     if (it->server->draining)
         it->keep_alive = false;
-    fill_response(it, std::move(reply));
+    if (it->head_only)
+        reply.body.clear();
+    it->reply_header = header_of(*it, reply);
+    it->reply_body = std::move(reply.body);
     set_timer(it, it->server->limits.answer_write_timeout);
-    http::async_write(it->socket, it->response,
+    const std::array<asio::const_buffer, 2> bufs{asio::buffer(it->reply_header),
+                                                 asio::buffer(it->reply_body)};
+    asio::async_write(it->socket, bufs,
                       [it, was_in_flight](const error_code& ec, std::size_t)
                       { after_write(it, ec, was_in_flight); });
 }
--- a/libs/gateway/src/http_server.cpp
+++ b/libs/gateway/src/http_server.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/strand.hpp>
 
 #include "http_session.hpp"
 
@@ -24,7 +23,7 @@
 
 void accept(const http_server_ptr& it);
 
-void admit(const http_server_ptr& it, tcp::socket socket)
+void admit(const http_server_ptr& it, strand_socket socket)
 {
     if (it->stopped)
         return;
@@ -55,7 +54,7 @@
     if (!it->acceptor.is_open())
         return;
     it->acceptor.async_accept(asio::make_strand(it->parent),
-                              [it](const error_code& ec, tcp::socket socket)
+                              [it](const error_code& ec, strand_socket socket)
                               {
                                   if (ec == asio::error::operation_aborted)
                                       return;
@@ -69,7 +68,7 @@
                               });
 }
 
-error_code bind(tcp::acceptor& acceptor, const core::endpoint& at)
+error_code bind(strand_acceptor& acceptor, const core::endpoint& at)
 {
     error_code ec;
     const auto address = asio::ip::make_address(at.address, ec);
--- a/libs/gateway/src/http_server.hpp
+++ b/libs/gateway/src/http_server.hpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
@@ -23,6 +24,16 @@
 namespace godwitbarrow::gateway::detail
 {
 
+/// Executors of a fixed type. A strand inside `any_io_executor` is counted with
+/// memory fences, which ThreadSanitizer does not model and reports as a race.
+using strand = boost::asio::strand<boost::asio::any_io_executor>;
+using strand_socket =
+    boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand>;
+using strand_acceptor =
+    boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, strand>;
+using strand_timer = boost::asio::basic_waitable_timer<
+    core::runtime_clock, boost::asio::wait_traits<core::runtime_clock>, strand>;
+
 using http_request =
     boost::beast::http::request<boost::beast::http::string_body>;
 
@@ -62,8 +73,8 @@
                 const gateway_limits& l, http_handlers h);
 
     boost::asio::any_io_executor parent;
-    boost::asio::ip::tcp::acceptor acceptor;
-    core::timer retry;
+    strand_acceptor acceptor;
+    strand_timer retry;
     core::endpoint local;
     const gateway_limits limits;
     const http_handlers handlers;
--- a/libs/gateway/src/http_session.cpp
+++ b/libs/gateway/src/http_session.cpp
@@ -16,7 +16,7 @@
 using boost::system::error_code;
 using tcp = asio::ip::tcp;
 
-session::session(tcp::socket s, http_server_ptr p)
+session::session(strand_socket s, http_server_ptr p)
     : socket(std::move(s)),
       server(std::move(p)),
       timer(socket.get_executor()),
@@ -28,7 +28,6 @@
 {
 
 constexpr std::size_t read_bytes = 4096;
-constexpr unsigned http_version_11 = 11;
 
 void watch_caller(const session_ptr& it);
 
--- a/libs/gateway/src/http_session.hpp
+++ b/libs/gateway/src/http_session.hpp
@@ -10,6 +10,9 @@
 namespace godwitbarrow::gateway::detail
 {
 
+/// Beast writes version 1.1 as 11.
+constexpr unsigned http_version_11 = 11;
+
 enum class session_phase
 {
     /// No byte of the next request has arrived.
@@ -27,11 +30,11 @@
 /// One connection; all members are used on the strand of `socket` only.
 struct session
 {
-    session(boost::asio::ip::tcp::socket s, http_server_ptr p);
+    session(strand_socket s, http_server_ptr p);
 
-    boost::asio::ip::tcp::socket socket;
+    strand_socket socket;
     http_server_ptr server;
-    core::timer timer;
+    strand_timer timer;
     /// Raised when the timer is set or cancelled, so that an expiry which is
     /// already queued has no effect.
     std::uint64_t timer_epoch = 0;
@@ -46,10 +49,12 @@
         parser;
     exchange_number exchange = 0;
     core::request_id request_id;
-    unsigned http_version = 11;
+    unsigned http_version = http_version_11;
     bool keep_alive = true;
     bool head_only = false;
-    boost::beast::http::response<boost::beast::http::string_body> response;
+    /// The reply being written.
+    std::string reply_header;
+    std::string reply_body;
     std::array<char, 1024> discarded;
 };
 
--- a/libs/peer/src/connect.cpp
+++ b/libs/peer/src/connect.cpp
@@ -1,6 +1,5 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/strand.hpp>
 
 #include "godwitbarrow/peer/link.hpp"
 #include "link_state.hpp"
@@ -14,16 +13,16 @@
 
 struct listener
 {
-    explicit listener(asio::any_io_executor executor)
-        : parent(std::move(executor)),
+    explicit listener(const asio::any_io_executor& executor)
+        : parent(executor),
           acceptor(asio::make_strand(parent)),
           retry(acceptor.get_executor())
     {
     }
 
     asio::any_io_executor parent;
-    tcp::acceptor acceptor;
-    core::timer retry;
+    detail::strand_acceptor acceptor;
+    detail::strand_timer retry;
     core::endpoint local;
     message_handler on_message;
     closed_handler on_closed;
@@ -46,7 +45,7 @@
 
 void accept(const listener_ptr& it);
 
-void accepted(const listener_ptr& it, tcp::socket socket)
+void accepted(const listener_ptr& it, strand_socket socket)
 {
     error_code ec;
     const auto remote = socket.remote_endpoint(ec);
@@ -77,7 +76,7 @@
     if (!it->acceptor.is_open())
         return;
     it->acceptor.async_accept(asio::make_strand(it->parent),
-                              [it](const error_code& ec, tcp::socket socket)
+                              [it](const error_code& ec, strand_socket socket)
                               {
                                   if (ec == asio::error::operation_aborted)
                                       return;
@@ -88,7 +87,7 @@
                               });
 }
 
-error_code bind(tcp::acceptor& acceptor, const core::endpoint& at)
+error_code bind(strand_acceptor& acceptor, const core::endpoint& at)
 {
     error_code ec;
     const auto address = asio::ip::make_address(at.address, ec);
@@ -177,7 +176,7 @@
              closed_handler on_closed, const link_limits& limits)
 {
     const auto it = std::make_shared<link>(
-        tcp::socket(asio::make_strand(executor)), limits);
+        detail::strand_socket(asio::make_strand(executor)), limits);
     it->on_message = std::move(on_message);
     it->on_closed = std::move(on_closed);
     it->remote = to;
--- a/libs/peer/src/link_state.hpp
+++ b/libs/peer/src/link_state.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <atomic>
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
 #include <vector>
 
 #include "frame.hpp"
@@ -11,18 +13,33 @@
 namespace godwitbarrow::peer
 {
 
+namespace detail
+{
+
+/// Executors of a fixed type. A strand inside `any_io_executor` is counted with
+/// memory fences, which ThreadSanitizer does not model and reports as a race.
+using strand = boost::asio::strand<boost::asio::any_io_executor>;
+using strand_socket =
+    boost::asio::basic_stream_socket<boost::asio::ip::tcp, strand>;
+using strand_acceptor =
+    boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, strand>;
+using strand_timer = boost::asio::basic_waitable_timer<
+    core::runtime_clock, boost::asio::wait_traits<core::runtime_clock>, strand>;
+
+}  // namespace detail
+
 /// Members other than the atomics and `remote` are used on the strand of
 /// `socket` only. `remote` does not change once other threads have the link.
 struct link
 {
-    link(boost::asio::ip::tcp::socket s, const link_limits& l)
+    link(detail::strand_socket s, const link_limits& l)
         : socket(std::move(s)), timer(socket.get_executor()), limits(l)
     {
     }
 
-    boost::asio::ip::tcp::socket socket;
+    detail::strand_socket socket;
     /// Bounds the connection attempt, later the frame that has begun.
-    core::timer timer;
+    detail::strand_timer timer;
     link_limits limits;
     core::endpoint remote;
     message_handler on_message;
