Require the term of a member before its position confirms a write

Cause: the acknowledgement counted members by log term and position alone, so a member that had been fenced by a promotion could still confirm a write of the old term. Change: a member confirms a write only while it reports the write's term. The scenario runner fails a run whose logs hold a sanitizer report.

--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -343,7 +343,9 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> all(1000,
                                                                     shared);
     const auto names = to.CreateVector(all);
-    const auto body = wire::Createsummary(to, 1, 2, 3, names).Union();
+    const auto host = to.CreateString("h");
+    const auto own = wire::Createhost_report(to, host, 1, false, false, names);
+    const auto body = wire::Createsummary(to, 1, 2, 3, 4, own).Union();
     wire::FinishenvelopeBuffer(
         to, wire::Createenvelope(to, wire::body::body_summary, body));
     BOOST_TEST(is_protocol_error(decode(to.GetBufferPointer(), to.GetSize())));
--- a/libs/serving/src/confirmation.cpp
+++ b/libs/serving/src/confirmation.cpp
@@ -19,7 +19,8 @@
                       [&](const auto& it)
                       {
                           const auto& status = it.second.status;
-                          return status && status->log_term == at.term &&
+                          return status && status->term == at.term &&
+                                 status->log_term == at.term &&
                                  status->position >= at.position;
                       }));
 }
--- a/test/scenarios/src/main.cpp
+++ b/test/scenarios/src/main.cpp
@@ -92,9 +92,14 @@
     it.print = FLAGS_print;
     const auto& story = std::get<scenario::script>(script);
     std::printf("%s\n", story.title.c_str());
-    const auto failed = run(story, it);
+    auto failed = run(story, it);
     scenario::stop_loads(it);
     scenario::end_all(it.processes);
+    for (const auto& n : scenario::find_sanitizer_reports(it.processes))
+    {
+        std::printf("FAILED %s\n", n.c_str());
+        ++failed;
+    }
     if (failed > 0)
         std::printf("logs are in %s\n",
                     it.processes.options.work_folder.c_str());
