Add capacity_bench

It measures how memory, processor time and message bytes grow with groups, connections, requests, known hosts and settings, and prints a table.

--- /dev/null
+++ b/test/bench/capacity/capacity.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "godwitbarrow/core/names.hpp"
+
+/// Measures how memory, processor time and bytes grow with size.
+namespace godwitbarrow::capacity
+{
+
+/// One figure at several sizes.
+struct series
+{
+    std::string name;
+    /// What is counted, in the singular, for example "group".
+    std::string size_unit;
+    std::vector<std::size_t> sizes;
+    std::string value_unit;
+    std::vector<double> values;
+};
+
+/// `bytes` returns the bytes at a size.
+series sweep_bytes(const std::string& name, const std::string& size_unit,
+                   const std::vector<std::size_t>& sizes,
+                   const std::function<std::size_t(std::size_t)>& bytes);
+
+/// `time` returns the time at a size; the table shows microseconds.
+series sweep_time(
+    const std::string& name, const std::string& size_unit,
+    const std::vector<std::size_t>& sizes,
+    const std::function<std::chrono::nanoseconds(std::size_t)>& time);
+
+/// Markdown rows with a least-squares slope.
+std::string format_rows(const std::vector<series>& all,
+                        const std::string& command);
+
+/// Bytes that the allocator has handed out, with its overhead.
+std::size_t heap_bytes();
+
+/// Processor time of all threads during `run`.
+std::chrono::nanoseconds processor_time(const std::function<void()>& run);
+
+/// Ends the program with a message if a step did not do what it measures.
+void require(bool met, const char* what);
+
+/// "group-00042", and its member `m`, "group-00042-1" for the first.
+core::group_id group_name(std::size_t n);
+core::server_id member_name(std::size_t n, std::size_t m);
+
+// The topics.
+std::vector<series> measure_groups();
+std::vector<series> measure_connections();
+std::vector<series> measure_requests();
+std::vector<series> measure_membership();
+std::vector<series> measure_messages();
+std::vector<series> measure_settings();
+
+}  // namespace godwitbarrow::capacity
