--- a/test/bench/capacity/capacity.hpp
+++ b/test/bench/capacity/capacity.hpp
@@ -3,9 +3,10 @@
 #include <chrono>
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
-#include "godwitbarrow/core/names.hpp"
+#include "godwitbarrow/serving/state.hpp"
 
 /// Measures how memory, processor time and bytes grow with size.
 namespace godwitbarrow::capacity
@@ -22,16 +23,24 @@
     std::vector<double> values;
 };
 
-/// `bytes` returns the bytes at a size.
-series sweep_bytes(const std::string& name, const std::string& size_unit,
-                   const std::vector<std::size_t>& sizes,
-                   const std::function<std::size_t(std::size_t)>& bytes);
+/// Value and unit of a table cell; times are in microseconds.
+std::pair<double, const char*> cell(std::size_t bytes);
+std::pair<double, const char*> cell(std::chrono::nanoseconds time);
 
-/// `time` returns the time at a size; the table shows microseconds.
-series sweep_time(
-    const std::string& name, const std::string& size_unit,
-    const std::vector<std::size_t>& sizes,
-    const std::function<std::chrono::nanoseconds(std::size_t)>& time);
+/// `measure` returns bytes or a time at a size.
+template <class Measure>
+series sweep(const std::string& name, const std::string& size_unit,
+             const std::vector<std::size_t>& sizes, Measure measure)
+{
+    series it{name, size_unit, sizes, {}, {}};
+    for (const auto n : sizes)
+    {
+        const auto [value, unit] = cell(measure(n));
+        it.values.push_back(value);
+        it.value_unit = unit;
+    }
+    return it;
+}
 
 /// Markdown rows with a least-squares slope.
 std::string format_rows(const std::vector<series>& all,
@@ -49,6 +58,8 @@
 /// "group-00042", and its member `m`, "group-00042-1" for the first.
 core::group_id group_name(std::size_t n);
 core::server_id member_name(std::size_t n, std::size_t m);
+/// Settings of group `n` with three members.
+serving::group_settings settings_of(std::size_t n);
 
 // The topics.
 std::vector<series> measure_groups();
--- a/test/bench/capacity/connections.cpp
+++ b/test/bench/capacity/connections.cpp
@@ -81,10 +81,10 @@
 
 std::vector<series> measure_connections()
 {
-    return {sweep_bytes("heap of an idle caller connection", "connection",
-                        {200, 1000, 4000}, caller_bytes),
-            sweep_bytes("heap of one end of an idle peer link", "link",
-                        {50, 200, 800}, link_bytes)};
+    return {sweep("heap of an idle caller connection", "connection",
+                  {200, 1000, 4000}, caller_bytes),
+            sweep("heap of one end of an idle peer link", "link",
+                  {50, 200, 800}, link_bytes)};
 }
 
 }  // namespace godwitbarrow::capacity
--- a/test/bench/capacity/groups.cpp
+++ b/test/bench/capacity/groups.cpp
@@ -9,6 +9,9 @@
 
 using namespace std::chrono_literals;
 
+/// Polls behind the mean of a poll.
+constexpr std::size_t mean_of = 30000;
+
 /// What a host holds of one group.
 struct group
 {
@@ -18,16 +21,12 @@
 
 group make_group(std::size_t n, core::time_point now)
 {
-    serving::group_settings it;
-    it.group = group_name(n);
-    it.self = {"host-00000"};
-    std::vector<core::server_id> members;
-    for (std::size_t m = 0; m < 3; ++m)
-        members.push_back(member_name(n, m));
-    for (const auto& server : members)
-        it.servers.push_back({server, 2, 15});
-    return {serving::make_group_state(it, n + 1),
-            failover::make_group(it.group, it.self, members, now)};
+    const auto it = settings_of(n);
+    return {
+        serving::make_group_state(it, n + 1),
+        failover::make_group(
+            it.group, it.self,
+            {member_name(n, 0), member_name(n, 1), member_name(n, 2)}, now)};
 }
 
 std::size_t state_bytes(std::size_t n)
@@ -49,21 +48,27 @@
             give(to, failover::row_read{row}, now);
 }
 
-/// `n` results of polls that a member held for a second, at the coordinator.
-std::chrono::nanoseconds poll_time(std::size_t n)
+/// `n` results of polls that a member held for a second, at a coordinator with
+/// this number of observers.
+std::chrono::nanoseconds poll_time(std::size_t n, std::size_t observers)
 {
     core::time_point now{1h};
     auto it = make_group(0, now);
-    const auto primary = member_name(0, 0);
+    const std::vector<core::server_id> members{
+        member_name(0, 0), member_name(0, 1), member_name(0, 2)};
+    const auto& primary = members[0];
     give(it.failover, failover::view_learned{1, primary}, now);
-    give(it.failover, failover::role_changed{true, {{"host-00001"}}}, now);
+    failover::role_changed role{true, {}};
+    for (std::size_t i = 0; i < observers; ++i)
+        role.observers.push_back({"host-" + std::to_string(10000 + i)});
+    give(it.failover, role, now);
     serving::decide(it.serving, serving::view_changed{1, primary}, now);
     const auto used = processor_time(
         [&]
         {
             for (std::size_t i = 0; i < n; ++i)
             {
-                const auto server = member_name(0, i % 3);
+                const auto& server = members[i % 3];
                 const bool leads = i % 3 == 0;
                 const core::member_status status{
                     1, 1, i + 1,
@@ -96,12 +101,27 @@
     return {group_name(n).value + "-" + std::to_string(m + 1)};
 }
 
+serving::group_settings settings_of(std::size_t n)
+{
+    serving::group_settings it;
+    it.group = group_name(n);
+    it.self = {"host-00000"};
+    for (std::size_t m = 0; m < 3; ++m)
+        it.servers.push_back({member_name(n, m), 2, 15});
+    return it;
+}
+
 std::vector<series> measure_groups()
 {
-    return {sweep_bytes("heap of the decision state of a group of three",
-                        "group", {100, 1000, 8600}, state_bytes),
-            sweep_time("processor time of status polls", "poll",
-                       {10000, 30000, 100000}, poll_time)};
+    return {
+        sweep("heap of the decision state of a group of three", "group",
+              {100, 1000, 8600}, state_bytes),
+        sweep("processor time of status polls", "poll", {10000, 30000, 100000},
+              [](std::size_t n) { return poll_time(n, 3); }),
+        sweep("processor time of a status poll, mean", "known host",
+              {4, 40, 400, 3600},
+              [](std::size_t n)
+              { return poll_time(mean_of, n - 1) / mean_of; })};
 }
 
 }  // namespace godwitbarrow::capacity
--- a/test/bench/capacity/measure.cpp
+++ b/test/bench/capacity/measure.cpp
@@ -40,26 +40,14 @@
 
 }  // namespace
 
-series sweep_bytes(const std::string& name, const std::string& size_unit,
-                   const std::vector<std::size_t>& sizes,
-                   const std::function<std::size_t(std::size_t)>& bytes)
+std::pair<double, const char*> cell(std::size_t bytes)
 {
-    series it{name, size_unit, sizes, "B", {}};
-    for (const auto n : sizes)
-        it.values.push_back(static_cast<double>(bytes(n)));
-    return it;
+    return {static_cast<double>(bytes), "B"};
 }
 
-series sweep_time(
-    const std::string& name, const std::string& size_unit,
-    const std::vector<std::size_t>& sizes,
-    const std::function<std::chrono::nanoseconds(std::size_t)>& time)
+std::pair<double, const char*> cell(std::chrono::nanoseconds time)
 {
-    series it{name, size_unit, sizes, "us", {}};
-    for (const auto n : sizes)
-        it.values.push_back(
-            std::chrono::duration<double, std::micro>(time(n)).count());
-    return it;
+    return {std::chrono::duration<double, std::micro>(time).count(), "us"};
 }
 
 std::string format_rows(const std::vector<series>& all,
--- a/test/bench/capacity/membership.cpp
+++ b/test/bench/capacity/membership.cpp
@@ -10,7 +10,7 @@
 using namespace membership;
 
 /// Rounds behind each mean.
-constexpr std::size_t rounds = 50;
+constexpr std::size_t rounds = 200;
 
 /// One of the hosts in 15 data centres and 6 regions.
 host_entry make_host(std::size_t n)
@@ -78,11 +78,17 @@
 {
     auto at = make_fleet_member(n);
     std::chrono::nanoseconds used{0};
-    for (std::size_t i = 0; i < 10 * rounds; ++i, at.now += 100ms)
+    for (std::size_t i = 0; i < rounds; ++i, at.now += 100ms)
     {
         std::vector<action> sent;
-        used +=
-            processor_time([&] { sent = decide(at.known, tick{}, at.now); });
+        used += processor_time(
+            [&]
+            {
+                for (int step = 0; step < 10; ++step, at.now += 100ms)
+                    for (auto& it : decide(at.known, tick{}, at.now))
+                        sent.push_back(std::move(it));
+            });
+        at.now -= 100ms;
         const auto replies = replies_to(at, sent);
         used += processor_time(
             [&]
@@ -95,18 +101,21 @@
     return used / rounds;
 }
 
-/// Mean of an event that `make` builds for a version, one a second.
+/// Mean of the events that `make` builds for versions from 2, one a second.
 template <class Make>
 std::chrono::nanoseconds event_time(std::size_t n, Make make)
 {
     auto at = make_fleet_member(n);
-    std::chrono::nanoseconds used{0};
-    for (std::size_t i = 0; i < rounds; ++i, at.now += 1s)
-    {
-        const event what = make(at, i + 2);
-        used += processor_time([&] { decide(at.known, what, at.now); });
-    }
-    return used / rounds;
+    std::vector<event> events;
+    for (std::size_t i = 0; i < rounds; ++i)
+        events.push_back(make(at, i + 2));
+    return processor_time(
+               [&]
+               {
+                   for (const auto& it : events)
+                       decide(at.known, it, at.now += 1s);
+               }) /
+           rounds;
 }
 
 event equal_summary(const host& at, std::uint64_t)
@@ -140,17 +149,15 @@
     const auto unit = "known host";
     const auto mean = [&](const std::string& name, auto make)
     {
-        return sweep_time("processor time of " + name, unit, sizes,
-                          [make](std::size_t n)
-                          { return event_time(n, make); });
+        return sweep("processor time of " + name, unit, sizes,
+                     [make](std::size_t n) { return event_time(n, make); });
     };
-    return {
-        sweep_bytes("heap of the membership state", unit, sizes, state_bytes),
-        sweep_time("processor time of a second of membership ticks", unit,
-                   sizes, second_time),
-        mean("a summary with its reply", equal_summary),
-        mean("news of one report", news_of_report),
-        mean("news of one host", news_of_host)};
+    return {sweep("heap of the membership state", unit, sizes, state_bytes),
+            sweep("processor time of a second of membership ticks", unit, sizes,
+                  second_time),
+            mean("a summary with its reply", equal_summary),
+            mean("news of one report", news_of_report),
+            mean("news of one host", news_of_host)};
 }
 
 }  // namespace godwitbarrow::capacity
--- a/test/bench/capacity/messages.cpp
+++ b/test/bench/capacity/messages.cpp
@@ -46,15 +46,13 @@
 std::vector<series> measure_messages()
 {
     using std::placeholders::_1;
-    return {
-        sweep_bytes("messages of a forwarded read, statement and row of a size",
-                    "byte", {32, 128, 512},
-                    std::bind(forwarded_bytes, core::access_mode::read, _1)),
-        sweep_bytes("messages of a forwarded write, statement of a size",
-                    "byte", {32, 128, 512},
-                    std::bind(forwarded_bytes, core::access_mode::write, _1)),
-        sweep_bytes("summary", "unreachable server", {0, 3, 30},
-                    summary_bytes)};
+    return {sweep("messages of a forwarded read, statement and row of a size",
+                  "byte", {32, 128, 512},
+                  std::bind(forwarded_bytes, core::access_mode::read, _1)),
+            sweep("messages of a forwarded write, statement of a size", "byte",
+                  {32, 128, 512},
+                  std::bind(forwarded_bytes, core::access_mode::write, _1)),
+            sweep("summary", "unreachable server", {0, 3, 30}, summary_bytes)};
 }
 
 }  // namespace godwitbarrow::capacity
--- a/test/bench/capacity/requests.cpp
+++ b/test/bench/capacity/requests.cpp
@@ -41,19 +41,11 @@
 
 owner make_owner()
 {
-    serving::group_settings settings;
-    settings.group = group_name(0);
-    settings.self = {"host-00000"};
-    serving::ownership_changed owned;
-    for (std::size_t m = 0; m < 3; ++m)
-    {
-        settings.servers.push_back({member_name(0, m), 2, 15});
-        owned.owned.push_back(member_name(0, m));
-    }
     owner it;
-    it.state = serving::make_group_state(settings, 1);
+    it.state = serving::make_group_state(settings_of(0), 1);
     give(it, serving::view_changed{1, member_name(0, 0)});
-    give(it, owned);
+    give(it, serving::ownership_changed{
+                 {member_name(0, 0), member_name(0, 1), member_name(0, 2)}});
     for (std::size_t m = 0; m < 3; ++m)
         report_status(it, m, 10);
     return it;
@@ -96,31 +88,32 @@
                             "token");
 }
 
-series measure_kind(const std::string& name, const std::string& body)
+/// Time of `n` requests with the same body.
+std::chrono::nanoseconds serve_time(const std::string& body, std::size_t n)
 {
-    return sweep_time(name, "request", {10000, 30000, 100000},
-                      [&](std::size_t n)
-                      {
-                          auto at = make_owner();
-                          return processor_time(
-                              [&]
-                              {
-                                  for (std::size_t i = 1; i <= n; ++i)
-                                      serve(at, body, i);
-                              });
-                      });
+    auto at = make_owner();
+    return processor_time(
+        [&]
+        {
+            for (std::size_t i = 1; i <= n; ++i)
+                serve(at, body, i);
+        });
 }
 
 }  // namespace
 
 std::vector<series> measure_requests()
 {
+    using std::placeholders::_1;
+    const std::vector<std::size_t> sizes{10000, 30000, 100000};
     const std::string group = R"({"group":"group-00000","kind":"quote",)";
-    return {measure_kind("processor time of reads, without sockets",
-                         group + R"("access":"read","statement":"get a"})"),
-            measure_kind("processor time of writes, without sockets",
-                         group + R"("access":"write","statement":"put a b",)"
-                                 R"("idempotency_key":"order-17"})")};
+    const auto read = group + R"("access":"read","statement":"get a"})";
+    const auto write = group + R"("access":"write","statement":"put a b",)" +
+                       R"("idempotency_key":"order-17"})";
+    return {sweep("processor time of reads, without sockets", "request", sizes,
+                  std::bind(serve_time, read, _1)),
+            sweep("processor time of writes, without sockets", "request", sizes,
+                  std::bind(serve_time, write, _1))};
 }
 
 }  // namespace godwitbarrow::capacity
--- a/test/bench/capacity/settings.cpp
+++ b/test/bench/capacity/settings.cpp
@@ -80,12 +80,12 @@
 std::vector<series> measure_settings()
 {
     const std::vector<std::size_t> sizes{30, 300, 3000};
-    return {sweep_bytes("settings set", "group", sizes, set_bytes),
-            sweep_time("processor time to parse a settings set", "group", sizes,
-                       parse_time),
-            sweep_bytes("delta of one file", "group", sizes, delta_bytes),
-            sweep_time("processor time to make a delta of one file", "group",
-                       sizes, delta_time)};
+    return {sweep("settings set", "group", sizes, set_bytes),
+            sweep("processor time to parse a settings set", "group", sizes,
+                  parse_time),
+            sweep("delta of one file", "group", sizes, delta_bytes),
+            sweep("processor time to make a delta of one file", "group", sizes,
+                  delta_time)};
 }
 
 }  // namespace godwitbarrow::capacity
