--- a/test/bench/capacity/groups.cpp
+++ b/test/bench/capacity/groups.cpp
@@ -48,6 +48,31 @@
             give(to, failover::row_read{row}, now);
 }
 
+failover::role_changed make_role(bool coordinator, std::size_t observers)
+{
+    failover::role_changed it{coordinator, {}};
+    for (std::size_t i = 0; i < observers; ++i)
+        it.observers.push_back({"host-" + std::to_string(10000 + i)});
+    return it;
+}
+
+/// Mean for a group that was told of all hosts but this one as observers.
+std::size_t state_bytes_with_observers(std::size_t hosts)
+{
+    constexpr std::size_t n = 100;
+    const core::time_point now{1h};
+    const auto role = make_role(false, hosts - 1);
+    const auto before = heap_bytes();
+    std::vector<group> groups;
+    groups.reserve(n);
+    for (std::size_t i = 0; i < n; ++i)
+    {
+        groups.push_back(make_group(i, now));
+        failover::decide(groups.back().failover, role, now);
+    }
+    return (heap_bytes() - before) / n;
+}
+
 /// `n` results of polls that a member held for a second, at a coordinator with
 /// this number of observers.
 std::chrono::nanoseconds poll_time(std::size_t n, std::size_t observers)
@@ -58,10 +83,7 @@
         member_name(0, 0), member_name(0, 1), member_name(0, 2)};
     const auto& primary = members[0];
     give(it.failover, failover::view_learned{1, primary}, now);
-    failover::role_changed role{true, {}};
-    for (std::size_t i = 0; i < observers; ++i)
-        role.observers.push_back({"host-" + std::to_string(10000 + i)});
-    give(it.failover, role, now);
+    give(it.failover, make_role(true, observers), now);
     serving::decide(it.serving, serving::view_changed{1, primary}, now);
     const auto used = processor_time(
         [&]
@@ -116,6 +138,8 @@
     return {
         sweep("heap of the decision state of a group of three", "group",
               {100, 1000, 8600}, state_bytes),
+        sweep("heap of one group state with all hosts as observers, mean",
+              "known host", {4, 40, 400, 3600}, state_bytes_with_observers),
         sweep("processor time of status polls", "poll", {10000, 30000, 100000},
               [](std::size_t n) { return poll_time(n, 3); }),
         sweep("processor time of a status poll, mean", "known host",
