Do not send requests that cannot end before their deadline

Cause: in a flood the queue stands at the deadline, so requests were sent with less time left than a statement takes. They ended as unknown, closed their connections, and used up the credit of their rank. Ruled out: removing expired entries alone, since the tick already does.

--- a/libs/serving/src/dispatch.cpp
+++ b/libs/serving/src/dispatch.cpp
@@ -10,6 +10,8 @@
 
 /// A slow but working server must not look silent.
 constexpr int service_times_per_attempt = 4;
+/// Many statements take longer than the average.
+constexpr int service_times_left = 2;
 
 /// Closing its connection undoes a begin, so it can be sent again like a read
 /// or a keyed write.
@@ -77,6 +79,11 @@
     {
         if (entry.need == admission::connection_need::held)
             return true;
+        // Sent so late, it would only end with an unknown outcome and a
+        // closed connection.
+        if (ctx.now + of_server.queue.service_time * service_times_left >
+            entry.deadline)
+            return false;
         return entry.need == admission::connection_need::shared
                    ? idle.has_value()
                    : begin_allowed;
--- a/libs/serving/test/decide_test.cpp
+++ b/libs/serving/test/decide_test.cpp
@@ -291,6 +291,19 @@
 
 BOOST_AUTO_TEST_SUITE(time_passes)
 
+// Guards against a flood whose late requests cost slots and connections and
+// end with unknown outcomes.
+BOOST_FIXTURE_TEST_CASE(what_cannot_end_in_time_is_not_sent, group)
+{
+    state.servers.at({"b"}).queue.service_time = 10ms;
+    auto it = read("r1");
+    it.deadline = now + 9ms;
+    arrive(it, "b");
+    BOOST_TEST(statements.empty());
+    advance(9ms);
+    BOOST_TEST((not_run("r1") == core::error_kind::deadline_exceeded));
+}
+
 BOOST_FIXTURE_TEST_CASE(the_next_wakeup_is_the_earliest_limit, group)
 {
     arrive(read("r1"), "b");
