Try an idle server even when little time is left

A server whose average service time comes from a slow period would otherwise keep out requests with shorter deadlines until the average had decayed by expiries alone.

--- a/libs/serving/src/decide.cpp
+++ b/libs/serving/src/decide.cpp
@@ -11,10 +11,6 @@
 namespace
 {
 
-/// One in this many parts of the average service time is taken off when a
-/// request expires in the queue of an idle server.
-constexpr int expiry_weight = 64;
-
 core::error no_slot_in_time()
 {
     return {core::error_kind::deadline_exceeded,
@@ -33,11 +29,7 @@
             break;
         case request_phase::queued:
         {
-            // While nothing runs, no reply corrects an average from a slow
-            // period that keeps out all requests with shorter deadlines.
-            auto& queue = ctx.state.servers.at(it.server).queue;
-            if (admission::running_count(queue) == 0)
-                queue.service_time -= queue.service_time / expiry_weight;
+            const auto& queue = ctx.state.servers.at(it.server).queue;
             finish_not_run(ctx, id, no_slot_in_time(),
                            to_milliseconds(queue.service_time));
             break;
--- a/libs/serving/src/dispatch.cpp
+++ b/libs/serving/src/dispatch.cpp
@@ -75,14 +75,16 @@
     const auto idle =
         admission::pick_idle(of_server.pool, settings.pool, ctx.now);
     const bool begin_allowed = idle && may_begin(ctx, server);
+    // Sent too late, a request would only end with an unknown outcome and a
+    // closed connection. An idle server is tried all the same, so that an
+    // average from a slow period is corrected.
+    const bool contended = admission::running_count(of_server.queue) > 0;
+    const auto needed = of_server.queue.service_time * service_times_left;
     const auto ready = [&](const admission::queued& entry)
     {
         if (entry.need == admission::connection_need::held)
             return true;
-        // Sent so late, it would only end with an unknown outcome and a
-        // closed connection.
-        if (ctx.now + of_server.queue.service_time * service_times_left >
-            entry.deadline)
+        if (contended && ctx.now + needed > entry.deadline)
             return false;
         return entry.need == admission::connection_need::shared
                    ? idle.has_value()
