--- a/apps/tool/src/burn_format.cpp
+++ b/apps/tool/src/burn_format.cpp
@@ -40,7 +40,7 @@
 
 void write_row(std::ostream& out, const std::vector<std::string>& cells)
 {
-    constexpr std::array<int, 10> widths{13, 17, 8, 9, 10, 8, 8, 11, 7, 0};
+    constexpr std::array<int, 9> widths{13, 17, 8, 9, 10, 8, 8, 11, 0};
     for (std::size_t n = 0; n < cells.size(); ++n)
         out << std::left << std::setw(widths[n]) << cells[n];
     out << '\n';
--- a/libs/settings/include/godwitbarrow/settings/publish.hpp
+++ b/libs/settings/include/godwitbarrow/settings/publish.hpp
@@ -187,6 +187,8 @@
 {
     generation_number generation = 0;
     std::string digest;
+    /// Null before the first.
+    std::shared_ptr<const settings> values;
 };
 
 /// Repeats a failing call after a growing time.
--- a/libs/settings/src/keys.cpp
+++ b/libs/settings/src/keys.cpp
@@ -23,10 +23,11 @@
 // Columns: section, key, type, required, default, minimum, maximum, choices,
 // effect, what a change does.
 const std::vector<key_info> table{
-    {"platform", "address", value_type::endpoint, true, "", 0, 0, "", live,
-     "Calls that start after the change go to the new address."},
+    {"platform", "address", value_type::endpoint, true, "", 0, 0, "", restart,
+     "A process uses the address in its flag --platform; restart it with the "
+     "new one."},
     {"platform", "timeout", value_type::duration, false, "2s", 100, 60000, "",
-     live, "Calls that start after the change use the new deadline."},
+     restart, "Not used by this version, whose calls have a deadline of 2 s."},
 
     {"data_centre", "region", value_type::name, true, "", 0, 0, "", live,
      "Server owners and the order of replicas are computed again."},
@@ -48,9 +49,9 @@
     {"group", "description", value_type::text, false, "", 0, 0, "", live,
      "Shown in reports only."},
 
-    {"backend_server", "group", value_type::name, true, "", 0, 0, "", live,
-     "The server leaves the old group and joins the new one; use it only for "
-     "a server that holds no data."},
+    {"backend_server", "group", value_type::name, true, "", 0, 0, "", restart,
+     "Requests use the new members at once, promotions after all hosts are "
+     "restarted; see operations."},
     {"backend_server", "address", value_type::endpoint, true, "", 0, 0, "",
      live,
      "New connections go to the new address; old ones finish their work."},
@@ -79,19 +80,21 @@
     {"rank", "objective", value_type::percent, false, "99%", 1, 99.9999, "",
      live, "The burn report uses the new objective for its whole period."},
     {"rank", "latency_objective", value_type::duration, false, "1s", 1, hour,
-     "", live, "Requests that complete after the change are judged by it."},
+     "", live,
+     "The burn report uses it at once; a request counts as good up to the next "
+     "lower bound of the latency histogram."},
     {"rank", "deadline", value_type::duration, false, "5s", 1, hour, "", live,
      "Requests that arrive after the change and name no deadline get it."},
 
     {"limits", "body", value_type::size, false, "64KiB", 1024, 16 * mib, "",
-     live, "Requests that arrive after the change are held to it."},
-    {"limits", "header", value_type::size, false, "8KiB", 1024, mib, "", live,
-     "Connections that are accepted after the change are held to it."},
+     restart, "Requests to the restarted process are held to it."},
+    {"limits", "header", value_type::size, false, "8KiB", 1024, mib, "",
+     restart, "Requests to the restarted process are held to it."},
     {"limits", "open_connections", value_type::count, false, "10000", 1,
-     1000000, "", live,
-     "New connections above the limit are refused; open ones stay."},
+     1000000, "", restart,
+     "The restarted process refuses connections above the limit."},
     {"limits", "request_read_time", value_type::duration, false, "5s", 100,
-     600000, "", live, "Requests that arrive after the change are held to it."},
+     600000, "", restart, "Requests to the restarted process are held to it."},
     {"limits", "drain_limit", value_type::duration, false, "30s", 0, hour, "",
      live, "Shutdowns that start after the change use it."},
     {"limits", "transaction_idle_limit", value_type::duration, false, "10s",
--- a/libs/settings/test/publish_fixture.hpp
+++ b/libs/settings/test/publish_fixture.hpp
@@ -165,4 +165,58 @@
     return found;
 }
 
+/// Hosts a and b with one store; calls are answered at once unless said
+/// otherwise.
+struct fleet
+{
+    store platform;
+    core::time_point now{std::chrono::hours(1)};
+    publisher a = make_publisher("a");
+    publisher b = make_publisher("b");
+
+    void run(publisher& it, call_fate fate = call_fate::answered)
+    {
+        while (!it.calls.empty())
+            perform(it, platform, fate, now);
+    }
+
+    /// Scans the folder twice, so that its content is considered.
+    void scan(publisher& it, const file_set& files)
+    {
+        feed(it, folder_scanned{files}, now);
+        feed(it, folder_scanned{files}, now);
+    }
+
+    void save(publisher& it, const file_set& files)
+    {
+        scan(it, files);
+        run(it);
+    }
+
+    void wait_and_run(publisher& it, call_fate fate = call_fate::answered)
+    {
+        now += std::chrono::seconds(10);
+        feed(it, tick{}, now);
+        run(it, fate);
+    }
+
+    generation_number generation() const
+    {
+        return platform.current.row.generation;
+    }
+
+    publisher restart(const publisher& it) const
+    {
+        return make_publisher(it.state.self.value);
+    }
+};
+
+inline std::vector<generation_number> applied(const publisher& it)
+{
+    std::vector<generation_number> numbers;
+    for (const auto& x : all_reports<apply>(it))
+        numbers.push_back(x.generation);
+    return numbers;
+}
+
 }  // namespace godwitbarrow::settings::test
