Show that each safety check of failover can fail

Change: three stories for protections that no test missed before (a promotion without answer, a fence answer of an older term, a claim on the word of one host, which expect_no_promotion now sees in the row).

--- a/libs/failover/test/decide_test.cpp
+++ b/libs/failover/test/decide_test.cpp
@@ -45,6 +45,8 @@
         sim::run_for(w, length);
         BOOST_TEST(w.promoted.size() == 1U, sim::explain(w));
         BOOST_TEST(sim::serving_primary(w) == 0);
+        // A claim alone would make the next coordinator promote.
+        BOOST_TEST(w.store.row.row.term == 1U, sim::explain(w));
     }
 
     core::term_number term() const
@@ -256,6 +258,30 @@
     BOOST_TEST(w.promoted.count(2) == 0U);
 }
 
+// Guards against an answer to an earlier attempt that counts for this one.
+BOOST_AUTO_TEST_CASE(a_fence_answer_of_an_older_term_does_not_count)
+{
+    w.watch = [&](int, const action& what)
+    {
+        if (std::holds_alternative<fence_member>(what))
+            sim::cut_off(w, coordinator, {1, 2, 3, 4, 5, 6});
+    };
+    sim::kill_member(w, 0, false);
+    const auto fencing = [&]
+    {
+        return w.hosts[coordinator].state.now_in == phase::fencing;
+    };
+    BOOST_REQUIRE(sim::run_until(w, recovery_limit, fencing));
+    for (int m = 1; m < sim::member_count; ++m)
+        sim::feed(w, coordinator,
+                  fence_answered{sim::server_name(m),
+                                 core::member_status{1, 1, 5, {}, false}});
+    BOOST_TEST(count(step::fenced) == 0U);
+    w.watch = nullptr;
+    w.cuts.clear();
+    expect_recovery(2);
+}
+
 // Guards against members that stay fenced.
 BOOST_AUTO_TEST_CASE(a_coordinator_that_dies_after_fencing_is_followed)
 {
@@ -276,6 +302,32 @@
         (w.store.row.row.primary == sim::server_name(sim::serving_primary(w))));
 }
 
+// Guards against a second primary of the term if the first one was promoted
+// and its answer got lost.
+BOOST_AUTO_TEST_CASE(a_promotion_without_answer_goes_to_no_other_member)
+{
+    w.watch = [&](int h, const action& what)
+    {
+        const auto* promote = std::get_if<promote_member>(&what);
+        if (h != coordinator || promote == nullptr)
+            return;
+        w.watch = nullptr;
+        const int chosen = sim::member_index(promote->server);
+        // The request is on its way, the answer will find the link cut.
+        sim::after(w, 500us,
+                   [&, chosen] {
+                       sim::cut_off(w, coordinator,
+                                    {1, 2, 3, sim::member_node(chosen)});
+                   });
+    };
+    sim::kill_member(w, 0, false);
+    sim::run_for(w, 8s);
+    BOOST_TEST(w.promoted.count(2) == 1U);
+    BOOST_TEST(count(step::chosen) > count(step::promoted), sim::explain(w));
+    w.cuts.clear();
+    expect_recovery(2);
+}
+
 // Guards against a paused coordinator that goes on with an overtaken attempt.
 BOOST_AUTO_TEST_CASE(a_coordinator_that_wakes_in_an_old_attempt_changes_nothing)
 {
