Fix a dangling reference in a settings test; avoid a false GCC warning

AddressSanitizer found the reference; GCC 12 warned of an uninitialised optional in the sanitizer build only. settings_test and tool_test pass under AddressSanitizer.

--- a/libs/settings/src/publish_steps.cpp
+++ b/libs/settings/src/publish_steps.cpp
@@ -166,21 +166,20 @@
     return row;
 }
 
-/// Why the pending content may not follow the row; nullopt if it may.
-std::optional<conflict_cause> find_conflict(const candidate& it,
-                                            const settings_row& row)
+/// Whether the pending content may not follow the row; `cause` says why.
+bool is_conflict(const candidate& it, const settings_row& row,
+                 conflict_cause& cause)
 {
     if (row.generation == 0)
-        return std::nullopt;
+        return false;
     if (!it.from_start)
-        return row.generation > it.base
-                   ? std::optional(conflict_cause::lost_race)
-                   : std::nullopt;
-    if (is_older_digest(row, it.digest))
-        return conflict_cause::stale_folder;
-    if (!has_whole_history(row))
-        return conflict_cause::age_unknown;
-    return std::nullopt;
+    {
+        cause = conflict_cause::lost_race;
+        return row.generation > it.base;
+    }
+    const bool older = is_older_digest(row, it.digest);
+    cause = older ? conflict_cause::stale_folder : conflict_cause::age_unknown;
+    return older || !has_whole_history(row);
 }
 
 /// The change is judged when the generation before it is known here.
@@ -215,8 +214,9 @@
     }
     if (current_digest(row) == state.pending->digest)
         return settle_published(in, row.generation);
-    if (const auto cause = find_conflict(*state.pending, row))
-        return settle_conflict(in, *cause);
+    auto cause = conflict_cause::lost_race;
+    if (is_conflict(*state.pending, row, cause))
+        return settle_conflict(in, cause);
     if (state.fetch)
         return wait_for_fetch(in);
     if (reject_change(in))
--- a/libs/settings/test/settings_test.cpp
+++ b/libs/settings/test/settings_test.cpp
@@ -111,7 +111,7 @@
 {
     auto files = with("[rank.urgent]\ndeadline = 3s\n");
     files["05-early.ini"] = "[rank.urgent]\ndeadline = 9s\n";
-    const auto& it = accepted(files).ranks[0];
+    const auto it = accepted(files).ranks[0];
     BOOST_TEST((it.deadline == 3s));
     BOOST_TEST((it.latency_objective == 250ms));
 }
