--- a/apps/proxy/src/roles.cpp
+++ b/apps/proxy/src/roles.cpp
@@ -12,6 +12,10 @@
 namespace
 {
 
+/// More than a round of observers asks, so that hosts that do not answer can
+/// be passed over.
+constexpr std::size_t most_listed = 8;
+
 // What the choice of owners depends on, copied from the host table.
 struct host_snapshot
 {
@@ -48,8 +52,9 @@
         to.push_back(host);
 }
 
-// The owners of the group's servers first, then all other hosts: they see the
-// group from their own data centres.
+// The owners of the group's servers first, then other hosts from the position
+// of the group's hash on, so that groups spread over the hosts. The list is
+// bounded: with all 3,600 hosts in it, one group takes 120 KB.
 std::vector<core::host_id> list_observers(const settings::settings& of,
                                           const host_snapshot& hosts,
                                           const settings::group& group,
@@ -59,8 +64,10 @@
     for (const auto& n : group.members)
         if (const auto owner = find_owner(of, hosts, n))
             add_unique(it, *owner, self);
-    for (const auto& n : hosts.usable)
-        add_unique(it, n.host, self);
+    const auto count = hosts.usable.size();
+    const auto first = std::hash<std::string>{}(group.members.front().value);
+    for (std::size_t n = 0; n < count && it.size() < most_listed; ++n)
+        add_unique(it, hosts.usable[(first + n) % count].host, self);
     return it;
 }
 
@@ -78,7 +85,8 @@
     failover::role_changed role;
     role.coordinator =
         routing::coordinator_of(entry->id, hosts.usable) == it.self;
-    role.observers = list_observers(of, hosts, group, it.self);
+    if (role.coordinator)
+        role.observers = list_observers(of, hosts, group, it.self);
     const bool polls = role.coordinator || !ownership.owned.empty();
     post(it, entry, serving::event(ownership));
     post(it, entry, failover::event(role));
