Bound each rank's queue by itself and share reads among equal replicas

Cause: one bound over all ranks let a flood of deferred work fill the queue, so that urgent requests were refused; entry hosts at the same distance from two replicas all chose the one with the first name; writes were sent although no majority could confirm them before the deadline. Ruled out: the order of dispatch. Change: max_entries counts per rank; equal distances are ordered by a hash of the request id; a contended write also needs the average confirmation time. Callers are served from the first generation on, not from a folder that may be outdated; a new member takes part in promotions without a restart; the store timeout is 3 s, so that a store of 2 s a call is slow and not down; replicas that report lost contact are believed at once, as they have waited 1.5 s.

--- a/apps/proxy/src/admin.cpp
+++ b/apps/proxy/src/admin.cpp
@@ -92,7 +92,10 @@
         [&](group_entry& group)
         {
             json::object servers;
-            for (const auto& n : settings->groups.at(group.id).members)
+            const auto known = settings->groups.find(group.id);
+            if (known == settings->groups.end())
+                return json::object{{"group", group.id.value}};
+            for (const auto& n : known->second.members)
             {
                 const auto owner = owner_of_server(it, n);
                 servers[n.value] = owner ? owner->value : "";
--- a/apps/proxy/src/group_runner.cpp
+++ b/apps/proxy/src/group_runner.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Backend servers report the loss of their primary after this time.
+constexpr std::chrono::milliseconds member_contact_timeout{1500};
+
 std::optional<core::time_point> earliest(
     const std::optional<core::time_point>& a,
     const std::optional<core::time_point>& b)
@@ -89,6 +92,16 @@
     perform_all(it, group);
 }
 
+// A member that the settings no longer name can neither be fenced nor chosen.
+void update_members(failover::group_state& state,
+                    const std::vector<core::server_id>& names)
+{
+    std::map<core::server_id, failover::member_state> members;
+    for (const auto& n : names)
+        members[n] = state.members[n];
+    state.members = std::move(members);
+}
+
 group_ptr make_entry(app& it, const settings::settings& of,
                      const core::group_id& id, const settings::group& group)
 {
@@ -98,6 +111,7 @@
     entry->serving = serving::make_group_state(
         to_group_settings(of, id, it.self), it.incarnation);
     entry->failover = failover::make_group(id, it.self, group.members, now);
+    entry->failover.limits.member_contact_timeout = member_contact_timeout;
     entry->failover.incarnation = it.incarnation;
     entry->failover.jitter = it.incarnation | 1;
     return entry;
@@ -152,6 +166,7 @@
             continue;
         }
         std::lock_guard lock(entry->mutex);
+        detail::update_members(entry->failover, group.members);
         serving::apply_settings(entry->serving,
                                 to_group_settings(of, id, it.self));
     }
--- a/apps/proxy/src/main.cpp
+++ b/apps/proxy/src/main.cpp
@@ -13,6 +13,8 @@
 
 using namespace godwitbarrow;
 
+/// A store that takes 2 s a call is slow and not down.
+constexpr std::chrono::milliseconds store_timeout{3000};
 constexpr int exit_bad_usage = 2;
 constexpr int exit_cannot_serve = 1;
 
@@ -60,6 +62,7 @@
     it.metrics = telemetry::make_metrics();
     platform::client_options store;
     store.service = it.settings_from.platform;
+    store.timeout = store_timeout;
     it.store = platform::make_client(it.io.get_executor(), store);
     boost::asio::signal_set signals(it.io, SIGTERM, SIGINT);
     await_signals(it, signals);
--- a/apps/proxy/src/peers.cpp
+++ b/apps/proxy/src/peers.cpp
@@ -203,7 +203,12 @@
 
 void request_settings_from_seeds(app& it)
 {
-    for (const auto& n : it.settings_from.seeds)
+    std::vector<core::endpoint> seeds;
+    {
+        std::lock_guard lock(it.settings.mutex);
+        seeds = it.settings.seeds;
+    }
+    for (const auto& n : seeds)
         peer::connect(
             it.io.get_executor(), n,
             [&it](const core::result<peer::link_ptr>& link)
--- a/apps/proxy/src/settings_runner.cpp
+++ b/apps/proxy/src/settings_runner.cpp
@@ -141,23 +141,24 @@
     refresh_roles(it);
 }
 
-// The folder of this host serves until a generation is known, so that the
-// host can reach its peers while the store is down.
+// The folder may be outdated, so it only names the peers to ask while the
+// store is down; callers are served from the first generation on.
 void perform_one(app& it, const settings::bootstrap& what)
 {
-    {
-        std::lock_guard lock(it.settings.mutex);
-        if (!it.settings.current)
-            it.settings.current = what.values;
-    }
-    apply_group_settings(it, *what.values);
-    announce_first(it);
+    std::lock_guard lock(it.settings.mutex);
+    if (!it.settings.seeds.empty())
+        return;
+    for (const auto& [id, host] : what.values->hosts)
+        if (id != it.self)
+            it.settings.seeds.push_back({host.address, host.peer_port});
 }
 
 void note_rejection(app& it, const std::string& reason)
 {
     {
         std::lock_guard lock(it.settings.mutex);
+        if (it.settings.last_rejection == reason)
+            return;
         it.settings.last_rejection = reason;
     }
     telemetry::log_event(telemetry::log_level::error, "settings not accepted",
@@ -177,8 +178,12 @@
     note_rejection(it, settings::to_string(what));
 }
 
-void perform_one(app&, const settings::report_published& what)
+void perform_one(app& it, const settings::report_published& what)
 {
+    {
+        std::lock_guard lock(it.settings.mutex);
+        it.settings.last_rejection.clear();
+    }
     telemetry::log_event(telemetry::log_level::info, "settings published",
                          {{"generation", what.generation}});
 }
@@ -238,6 +243,7 @@
     {
         std::lock_guard lock(it.settings.mutex);
         it.settings.on_first = std::move(on_first);
+        it.settings.seeds = it.settings_from.seeds;
         it.settings.publish.self = it.self;
         it.settings.publish.incarnation = std::to_string(it.incarnation);
     }
--- a/apps/proxy/src/tables.hpp
+++ b/apps/proxy/src/tables.hpp
@@ -44,7 +44,9 @@
     settings::publish_state publish;
     /// A whole file set that a peer is sending.
     settings_transfer transfer;
-    /// Runs when the first settings are known.
+    /// Peers to ask for settings while the store is down.
+    std::vector<core::endpoint> seeds;
+    /// Runs when the first generation is known.
     std::function<void()> on_first;
     /// Last rejected or conflicting change of the folder, for operators.
     std::string last_rejection;
--- a/libs/admission/include/godwitbarrow/admission/queue.hpp
+++ b/libs/admission/include/godwitbarrow/admission/queue.hpp
@@ -31,7 +31,8 @@
     std::array<double, core::rank_count> minimum_share{0.0, 0.2, 0.1};
     /// Slots that only urgent work may use; at most slots - 1 take effect.
     std::size_t urgent_slots = 0;
-    /// Entries over all ranks; bounds the memory during a flood.
+    /// Entries of each rank; bounds the memory during a flood. A bound over all
+    /// ranks let a flood of deferred work shut out urgent work.
     std::size_t max_entries = 10000;
 };
 
--- a/libs/admission/src/queue.cpp
+++ b/libs/admission/src/queue.cpp
@@ -173,7 +173,8 @@
                                       const queued& entry, core::time_point now)
 {
     const auto wait = estimated_wait(it, settings, entry.importance);
-    const bool full = waiting_count(it) >= settings.max_entries;
+    const bool full = it.waiting[core::index_of(entry.importance)].size() >=
+                      settings.max_entries;
     if (full || now + wait > entry.deadline)
         return std::max(wait, it.service_time);
     enqueue_again(it, entry);
--- a/libs/admission/test/queue_test.cpp
+++ b/libs/admission/test/queue_test.cpp
@@ -181,6 +181,16 @@
     BOOST_TEST(arrive(rank::urgent).has_value());
 }
 
+// Guards against a flood of one rank that fills the queue for the others.
+BOOST_FIXTURE_TEST_CASE(a_full_rank_leaves_room_for_the_others, server_queue)
+{
+    settings.max_entries = 2;
+    arrive(rank::deferred);
+    arrive(rank::deferred);
+    BOOST_TEST(arrive(rank::deferred).has_value());
+    BOOST_TEST(!arrive(rank::urgent).has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(expired_entries_leave_it, server_queue)
 {
     arrive(rank::urgent, 10ms);
--- a/libs/routing/include/godwitbarrow/routing/candidates.hpp
+++ b/libs/routing/include/godwitbarrow/routing/candidates.hpp
@@ -37,8 +37,9 @@
 
 /// The members that may serve a request, best first. Writes and transactions:
 /// the primary only. Reads: replicas by latency, suspected ones after the
-/// others, the primary last. Leaving members get only the statements of
-/// running transactions. Empty if no member may serve it.
+/// others, the primary last; members at the same distance by a hash of the
+/// request id, so that they share the load. Leaving members get only the
+/// statements of running transactions. Empty if no member may serve it.
 std::vector<core::server_id> candidate_servers(
     const core::request& request, const std::vector<member_entry>& members,
     const std::optional<core::server_id>& primary, const place& local,
--- a/libs/routing/src/candidates.cpp
+++ b/libs/routing/src/candidates.cpp
@@ -59,8 +59,9 @@
             order.push_back(&it);
     const auto key = [&](const member_entry* it)
     {
-        return std::make_tuple(it == first, it->suspected,
-                               latency_to(it->at, local, known), it->server);
+        return std::make_tuple(
+            it == first, it->suspected, latency_to(it->at, local, known),
+            rendezvous_hash(request.id.value, it->server.value));
     };
     std::sort(order.begin(), order.end(),
               [&](const member_entry* a, const member_entry* b)
--- a/libs/serving/src/dispatch.cpp
+++ b/libs/serving/src/dispatch.cpp
@@ -67,6 +67,14 @@
     return found->second.connection;
 }
 
+/// Time that a write waits for a majority after its reply.
+core::duration confirmation_time(const context& ctx, const core::request_id& id)
+{
+    const auto& request = ctx.state.requests.at(id).request;
+    return core::is_write(request.access) ? ctx.state.confirmation_delay
+                                          : core::duration::zero();
+}
+
 /// Sends one waiting request; false if none can be sent.
 bool pump_once(context& ctx, const core::server_id& server)
 {
@@ -84,7 +92,8 @@
     {
         if (entry.need == admission::connection_need::held)
             return true;
-        if (contended && ctx.now + needed > entry.deadline)
+        if (contended && ctx.now + needed + confirmation_time(ctx, entry.id) >
+                             entry.deadline)
             return false;
         return entry.need == admission::connection_need::shared
                    ? idle.has_value()
