Expect pushed news within 1 s

Cause: the trial without pushes still passed the bound of 2 s; a leaving host was known after 800 / 1150 / 1850 ms at 4 / 40 / 400 hosts, against 50 / 50 / 200 ms with pushes. With 1 s the trial fails at 40 and 400 hosts.

--- a/libs/membership/test/decide_test.cpp
+++ b/libs/membership/test/decide_test.cpp
@@ -15,8 +15,9 @@
 {
 
 constexpr auto limit = 10s;
-// Of news that is pushed; summaries alone take several rounds.
-constexpr auto pushed_within = 2s;
+// Of news that is pushed. Summaries alone took 1150 ms at 40 hosts and 1850 ms
+// at 400 hosts.
+constexpr auto pushed_within = 1s;
 
 sim::shape shape_of(std::size_t hosts)
 {
