Keep polling a group until its last request has its answer

Cause: a host that drains gives up its servers, and its status polls ended with the ownership. Writes that waited for a majority were never confirmed and ended as unknown at their deadline. The story graceful_shutdown did not see it, because it ended a host that owns no server. Ruled out: answers lost in the write queues of the links; the gap was the deadline of 5 s, and the links stayed open. Change: polls go on while the group has requests or transactions; the host stops after 300 ms without work, so that the last answers are written.

--- a/apps/proxy/src/lifecycle.cpp
+++ b/apps/proxy/src/lifecycle.cpp
@@ -17,6 +17,9 @@
 /// learn that this host leaves, before the host stops accepting.
 constexpr std::chrono::milliseconds leave_notice{1500};
 constexpr std::chrono::milliseconds drain_check{50};
+/// Checks in a row without work before the host stops, so that the last
+/// answers leave the write queues of the links.
+constexpr int idle_checks_needed = 6;
 
 gateway::gateway_limits to_gateway_limits(const settings::limit_settings& of)
 {
@@ -71,10 +74,11 @@
     return false;
 }
 
-void stop_when_idle(app& it)
+void stop_when_idle(app& it, int idle_checks)
 {
     const bool late = core::runtime_clock::now() >= it.drain_until;
-    if (late || !has_work(it))
+    idle_checks = has_work(it) ? 0 : idle_checks + 1;
+    if (late || idle_checks >= idle_checks_needed)
     {
         telemetry::log_event(
             telemetry::log_level::info, "stopped",
@@ -84,10 +88,10 @@
     }
     it.drain_timer.expires_after(drain_check);
     it.drain_timer.async_wait(
-        [&it](boost::system::error_code ec)
+        [&it, idle_checks](boost::system::error_code ec)
         {
             if (!ec)
-                stop_when_idle(it);
+                stop_when_idle(it, idle_checks);
         });
 }
 
@@ -137,7 +141,7 @@
                 return;
             gateway::stop_accepting(it.gateway);
             gateway::close_idle(it.gateway);
-            detail::stop_when_idle(it);
+            detail::stop_when_idle(it, 0);
         });
 }
 
--- a/apps/proxy/src/messages_in.cpp
+++ b/apps/proxy/src/messages_in.cpp
@@ -45,7 +45,7 @@
 
 void receive(const source&, const peer::hello&) {}
 
-void receive(const source& at, peer::execute what)
+void receive(const source& at, const peer::execute& what)
 {
     const auto group = find_group(at.it, what.request.group);
     const auto id = what.request.id;
--- a/apps/proxy/src/observer.cpp
+++ b/apps/proxy/src/observer.cpp
@@ -16,8 +16,8 @@
 
 void observe_server(
     app& it, const core::server_id& server,
-    std::function<void(bool reachable, std::optional<core::member_status>)>
-        handler)
+    const std::function<void(bool reachable,
+                             std::optional<core::member_status>)>& handler)
 {
     const auto settings = current_settings(it);
     const auto n = settings->backend_servers.find(server);
--- a/apps/proxy/src/observer.hpp
+++ b/apps/proxy/src/observer.hpp
@@ -11,7 +11,7 @@
 /// status of the member if it answered in time.
 void observe_server(
     app& it, const core::server_id& server,
-    std::function<void(bool reachable, std::optional<core::member_status>)>
-        handler);
+    const std::function<void(bool reachable,
+                             std::optional<core::member_status>)>& handler);
 
 }  // namespace godwitbarrow::proxy
--- a/apps/proxy/src/poller.cpp
+++ b/apps/proxy/src/poller.cpp
@@ -74,8 +74,19 @@
         p->it.connections.pollers.erase(n);
 }
 
+// Writes that wait for a majority need the statuses also after the ownership
+// has moved to another host.
+bool has_requests(group_entry& group)
+{
+    std::lock_guard lock(group.mutex);
+    return !group.serving.requests.empty() ||
+           !group.serving.transactions.empty();
+}
+
 bool stop_if_unneeded(const poller_ptr& p)
 {
+    if (has_requests(*p->group))
+        return false;
     std::lock_guard lock(p->it.connections.mutex);
     if (p->active)
         return false;
--- a/test/scenarios/src/client.cpp
+++ b/test/scenarios/src/client.cpp
@@ -103,7 +103,9 @@
             it[std::string(n.key())] = detail::to_text(n.value());
     else
     {
-        it["outcome"] = "unknown";
+        const bool sent =
+            std::get<core::error>(got).kind != core::error_kind::no_connection;
+        it["outcome"] = sent ? "unknown" : "not_run";
         it["error"] = "no_answer";
         it["message"] = std::get<core::error>(got).message;
     }
--- a/test/scenarios/src/client.hpp
+++ b/test/scenarios/src/client.hpp
@@ -21,7 +21,8 @@
 };
 
 /// Sends one request and updates the session. A connection without a whole
-/// answer gives the outcome "unknown", as the caller cannot tell more.
+/// answer gives the outcome "unknown", as the caller cannot tell more; a
+/// refused connection gives "not_run".
 answer_fields send_request(const cluster& to, const core::host_id& via,
                            session& of,
                            const std::map<std::string, std::string>& options);
--- a/test/scenarios/src/cluster.cpp
+++ b/test/scenarios/src/cluster.cpp
@@ -111,7 +111,7 @@
     for (auto& [name, content] : std::get<settings::file_set>(files))
     {
         content = detail::replace_all(content, "127.0.0.1", options.address);
-        std::ofstream(folder + "/" + name) << content;
+        std::ofstream(detail::fs::path(folder) / name) << content;
     }
     auto parsed = settings::parse_settings(std::get<settings::file_set>(files));
     if (auto* problems = std::get_if<std::vector<settings::problem>>(&parsed))
--- a/test/scenarios/src/execute.cpp
+++ b/test/scenarios/src/execute.cpp
@@ -181,11 +181,10 @@
         const bool negated = !value.empty() && value.front() == '!';
         const bool equal = text == (negated ? value.substr(1) : value);
         if (equal == negated)
-            found.push_back(
-                "line " + std::to_string(of.line) + ": " + name + " is " +
-                text + ", expected " + value + "; " +
-                (got.count("message") > 0 ? got.at("message") : ""));
+            found.push_back(describe_mismatch(of, name, text, value));
     }
+    if (!found.empty() && got.count("message") > 0)
+        found.back() += "; " + got.at("message");
     return found;
 }
 
--- a/test/scenarios/src/http.cpp
+++ b/test/scenarios/src/http.cpp
@@ -24,6 +24,7 @@
     http::request<http::string_body> request;
     http::response<http::string_body> response;
     beast::error_code ec = asio::error::would_block;
+    bool connected = false;
 };
 
 void finish(exchange& it, beast::error_code ec)
@@ -57,6 +58,7 @@
     it.stream.async_connect(to,
                             [&it](beast::error_code ec)
                             {
+                                it.connected = !ec;
                                 if (ec)
                                     finish(it, ec);
                                 else
@@ -68,8 +70,9 @@
 }  // namespace
 }  // namespace detail
 
-core::result<http_response> call(const core::endpoint& to, std::string method,
-                                 std::string target, std::string body,
+core::result<http_response> call(const core::endpoint& to,
+                                 const std::string& method,
+                                 const std::string& target, std::string body,
                                  std::chrono::milliseconds timeout)
 {
     detail::exchange it;
@@ -84,20 +87,20 @@
     detail::run(it, {boost::asio::ip::make_address(to.address), to.port},
                 timeout);
     if (it.ec)
-        return core::error{core::error_kind::connection_lost,
+        return core::error{it.connected ? core::error_kind::connection_lost
+                                        : core::error_kind::no_connection,
                            core::to_string(to) + ": " + it.ec.message() +
                                "; check that the process runs"};
     return http_response{it.response.result_int(), it.response.body()};
 }
 
 core::result<boost::json::object> call_json(const core::endpoint& to,
-                                            std::string method,
-                                            std::string target,
+                                            const std::string& method,
+                                            const std::string& target,
                                             std::string body,
                                             std::chrono::milliseconds timeout)
 {
-    auto it = call(to, std::move(method), std::move(target), std::move(body),
-                   timeout);
+    auto it = call(to, method, target, std::move(body), timeout);
     if (!ok(it))
         return std::get<core::error>(it);
     boost::json::error_code ec;
--- a/test/scenarios/src/http.hpp
+++ b/test/scenarios/src/http.hpp
@@ -20,15 +20,16 @@
 };
 
 /// Sends one request on a new connection and waits for the response, at most
-/// `timeout`.
-core::result<http_response> call(const core::endpoint& to, std::string method,
-                                 std::string target, std::string body,
+/// `timeout`. `no_connection` if nothing was sent.
+core::result<http_response> call(const core::endpoint& to,
+                                 const std::string& method,
+                                 const std::string& target, std::string body,
                                  std::chrono::milliseconds timeout);
 
 /// The same for JSON; a body that is not a JSON object is an error.
 core::result<boost::json::object> call_json(const core::endpoint& to,
-                                            std::string method,
-                                            std::string target,
+                                            const std::string& method,
+                                            const std::string& target,
                                             std::string body,
                                             std::chrono::milliseconds timeout);
 
--- a/test/scenarios/src/load.cpp
+++ b/test/scenarios/src/load.cpp
@@ -44,6 +44,8 @@
     step request;
     std::vector<std::string> hosts;
     std::chrono::milliseconds pause{0};
+    /// Ask a host for its health before each request, as a balancer does.
+    bool balanced = false;
     std::size_t number = 0;
 };
 
@@ -61,6 +63,19 @@
     last_completed = now;
 }
 
+core::host_id pick_host(const worker& w, std::size_t n)
+{
+    for (std::size_t tried = 0; w.balanced && tried < w.hosts.size(); ++tried)
+    {
+        core::host_id host{w.hosts[(n + tried) % w.hosts.size()]};
+        const auto got = call(admin_endpoint(w.it.processes, host), "GET",
+                              "/healthz", "", std::chrono::seconds(1));
+        if (ok(got) && std::get<http_response>(got).status == 200)
+            return host;
+    }
+    return {w.hosts[n % w.hosts.size()]};
+}
+
 void run_worker(worker w)
 {
     session own;
@@ -69,7 +84,7 @@
     {
         auto options = w.request.options;
         const auto value = fill_values(w.it, options);
-        const core::host_id via{w.hosts[n % w.hosts.size()]};
+        const auto via = pick_host(w, n);
         const auto got = send_request(w.it.processes, via, own, options);
         record_if_write(w.it, options, value, got, w.request.line);
         count(w.load, got, last_completed);
@@ -124,6 +139,8 @@
         detail::take_option(request, "threads", "4").c_str(), nullptr, 10);
     const auto pause =
         parse_duration(detail::take_option(request, "pause", "5ms"));
+    const bool balanced =
+        detail::take_option(request, "balanced", "no") == "yes";
     const auto hosts = detail::split(detail::take_option(request, "via", ""));
     for (std::size_t n = 0; n < threads; ++n)
         load.threads.emplace_back(
@@ -132,7 +149,7 @@
                            ok(pause)
                                ? std::get<std::chrono::milliseconds>(pause)
                                : std::chrono::milliseconds(5),
-                           n});
+                           balanced, n});
 }
 
 answer_fields join_load(run_state& it, const std::string& name)
@@ -174,9 +191,8 @@
             n == got.end() ? 0 : std::strtol(n->second.c_str(), nullptr, 10);
         const long bound = std::strtol(value.c_str(), nullptr, 10);
         if (is_least ? have < bound : have > bound)
-            found.push_back("line " + std::to_string(of.line) + ": " + field +
-                            " is " + std::to_string(have) + ", expected " +
-                            name + "=" + value);
+            found.push_back(
+                describe_mismatch(of, name, std::to_string(have), value));
     }
     return found;
 }
--- a/test/scenarios/src/script.cpp
+++ b/test/scenarios/src/script.cpp
@@ -117,6 +117,14 @@
     return it;
 }
 
+std::string describe_mismatch(const step& of, const std::string& field,
+                              const std::string& got,
+                              const std::string& expected)
+{
+    return "line " + std::to_string(of.line) + ": " + field + " is " + got +
+           ", expected " + expected;
+}
+
 core::result<std::chrono::milliseconds> parse_duration(std::string_view text)
 {
     long n = 0;
--- a/test/scenarios/src/script.hpp
+++ b/test/scenarios/src/script.hpp
@@ -39,6 +39,11 @@
 /// Errors name the line.
 core::result<script> parse_script(std::string_view text);
 
+/// Text of a failed expectation.
+std::string describe_mismatch(const step& of, const std::string& field,
+                              const std::string& got,
+                              const std::string& expected);
+
 /// Accepts a number with "ms" or "s".
 core::result<std::chrono::milliseconds> parse_duration(std::string_view text);
 
