Bound the reads of a group row, log outcomes, check the room in a token

Each held request read the group row, which at a slow store could queue 64 reads before the claim of the coordinator. A token that had no room for one more group came back empty, so the session lost what it had seen. Retries at the entry host were not counted, and a request whose outcome is unknown left no line in the log. Change: one read of a row per group in 500 ms; a request whose token has no room is refused before it runs; retries are counted, outcomes logged with request id, group, term and error.

--- a/apps/proxy/src/entry.cpp
+++ b/apps/proxy/src/entry.cpp
@@ -75,6 +75,7 @@
     auto& it = call->it;
     const auto result = final_outcome(call, last);
     count_result(it, call->settings, call->request, result, call->started);
+    log_result(call->caller_id, call->request, result);
     if (const auto* n = std::get_if<core::completed>(&result))
         session::advance(call->token, call->request.group, n->at);
     const auto token = session::encode(call->token);
@@ -115,6 +116,7 @@
     const auto now = core::runtime_clock::now();
     if (now + retry_pause >= call->request.deadline)
         return finish(call, call->last_reason);
+    telemetry::count_retry(*call->it.metrics, call->request.importance);
     call->timer.expires_after(retry_pause);
     call->timer.async_wait(
         [call](boost::system::error_code)
@@ -280,6 +282,8 @@
         return call->respond(
             core::not_run{std::get<core::error>(token), std::nullopt}, "");
     call->token = std::get<session::token>(std::move(token));
+    if (const auto problem = check_token_room(call->token, call->request.group))
+        return call->respond(core::not_run{*problem, std::nullopt}, "");
     call->request.token =
         session::position_in(call->token, call->request.group);
     if (!admit_team(it, call->settings, call->request.kind))
--- a/apps/proxy/src/entry_request.cpp
+++ b/apps/proxy/src/entry_request.cpp
@@ -1,6 +1,7 @@
 #include "entry_request.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include "godwitbarrow/routing/candidates.hpp"
 
@@ -95,6 +96,21 @@
     return std::nullopt;
 }
 
+std::optional<core::error> check_token_room(const session::token& it,
+                                            const core::group_id& group)
+{
+    auto fullest = it;
+    constexpr auto highest = std::numeric_limits<std::uint64_t>::max();
+    session::advance(fullest, group, {highest, highest});
+    const auto encoded = session::encode(fullest);
+    if (ok(encoded))
+        return std::nullopt;
+    return core::error{core::error_kind::request_too_large,
+                       "the session token has no room for group \"" +
+                           group.value +
+                           "\"; start a session with an empty token for it"};
+}
+
 std::vector<core::server_id> list_candidates(app& it,
                                              const settings::settings& of,
                                              const group_ptr& group,
@@ -173,4 +189,27 @@
         detail::count_reader(it, what, *n);
 }
 
+void log_result(const core::request_id& caller_id, const core::request& what,
+                const core::outcome& result)
+{
+    using telemetry::log_level;
+    if (const auto* done = std::get_if<core::completed>(&result))
+        return telemetry::log_event(log_level::debug, "request completed",
+                                    {{"request_id", caller_id},
+                                     {"group", what.group},
+                                     {"term", done->at.term},
+                                     {"server", done->server}});
+    const auto* refused = std::get_if<core::not_run>(&result);
+    const auto& reason = refused != nullptr
+                             ? refused->reason
+                             : std::get<core::outcome_unknown>(result).reason;
+    telemetry::log_event(
+        refused != nullptr ? log_level::debug : log_level::warning,
+        refused != nullptr ? "request not run" : "request outcome unknown",
+        {{"request_id", caller_id},
+         {"group", what.group},
+         {"error", core::to_string(reason.kind)},
+         {"reason", reason.message}});
+}
+
 }  // namespace godwitbarrow::proxy
--- a/apps/proxy/src/entry_request.hpp
+++ b/apps/proxy/src/entry_request.hpp
@@ -12,6 +12,11 @@
 std::optional<core::error> complete_request(const settings::settings& of,
                                             gateway::parsed_request& it);
 
+/// An error if the token would exceed its bounds after a request to the group:
+/// the answer could then not carry what the session has to see later.
+std::optional<core::error> check_token_room(const session::token& it,
+                                            const core::group_id& group);
+
 /// The members that may serve the request, best first.
 std::vector<core::server_id> list_candidates(app& it,
                                              const settings::settings& of,
@@ -37,4 +42,8 @@
 void count_result(app& it, const settings_ptr& of, const core::request& what,
                   const core::outcome& result, core::time_point started);
 
+/// Logs an unknown outcome as a warning, any other one for debugging.
+void log_result(const core::request_id& caller_id, const core::request& what,
+                const core::outcome& result);
+
 }  // namespace godwitbarrow::proxy
--- a/apps/proxy/src/tables.hpp
+++ b/apps/proxy/src/tables.hpp
@@ -89,6 +89,8 @@
     bool performing = false;
     core::timer timer;
     std::optional<core::time_point> timer_due;
+    /// The group row is not read again before this time.
+    core::time_point next_refresh;
     /// Until then the members are polled at the short interval.
     core::time_point active_until;
 };
--- a/apps/proxy/src/views.cpp
+++ b/apps/proxy/src/views.cpp
@@ -23,6 +23,20 @@
         "writes to the table \"groups\""};
 }
 
+/// Each held request asks for the view. Without a bound, the reads of one
+/// group could delay the claim of its coordinator at a slow store.
+constexpr std::chrono::milliseconds refresh_interval{500};
+
+bool may_refresh(group_entry& group)
+{
+    const auto now = core::runtime_clock::now();
+    std::lock_guard lock(group.mutex);
+    if (now < group.next_refresh)
+        return false;
+    group.next_refresh = now + refresh_interval;
+    return true;
+}
+
 std::string text_of(const json::object& it, const char* key)
 {
     const auto* n = it.if_contains(key);
@@ -75,6 +89,8 @@
 
 void refresh_view(app& it, const group_ptr& group)
 {
+    if (!detail::may_refresh(*group))
+        return;
     platform::read_row(
         it.store, std::string(group_table_name), group->id.value,
         [&it, group](const core::result<platform::versioned_value>& read)
