Race two operators on two real hosts

Cause: the decisions about racing operators were fuzzed, the wiring of two hosts that publish was not shown.

--- a/test/scenarios/src/cluster.cpp
+++ b/test/scenarios/src/cluster.cpp
@@ -176,6 +176,9 @@
         detail::flag("workers", "2")};
     if (it.values.hosts.begin()->first == host)
         command.push_back(detail::flag("folder", published_folder(it)));
+    if (std::next(it.values.hosts.begin())->first == host &&
+        detail::fs::exists(second_folder(it)))
+        command.push_back(detail::flag("folder", second_folder(it)));
     std::string seeds;
     for (const auto& n : it.values.hosts)
         if (n.first != host)
@@ -215,6 +218,11 @@
     return detail::not_ready(host.value, it.hosts.at(host).log_path);
 }
 
+std::string second_folder(const cluster& it)
+{
+    return it.options.work_folder + "/second";
+}
+
 std::string published_folder(const cluster& it)
 {
     return it.options.work_folder + "/settings";
--- a/test/scenarios/src/cluster.hpp
+++ b/test/scenarios/src/cluster.hpp
@@ -59,6 +59,9 @@
 
 /// Folder that the first host watches.
 std::string published_folder(const cluster& it);
+/// Folder of a second operator, which the second host watches from its start
+/// if it exists.
+std::string second_folder(const cluster& it);
 
 core::endpoint caller_endpoint(const cluster& it, const core::host_id& host);
 core::endpoint admin_endpoint(const cluster& it, const core::host_id& host);
--- a/test/scenarios/src/execute.cpp
+++ b/test/scenarios/src/execute.cpp
@@ -149,11 +149,45 @@
 
 failures write_file_step(run_state& it, const step& of)
 {
-    std::ofstream(published_folder(it.processes) + "/" + word(of, 0))
-        << word(of, 1) << '\n';
+    const bool second = option(of, "operator") == "second";
+    const auto folder =
+        second ? second_folder(it.processes) : published_folder(it.processes);
+    std::ofstream(folder + "/" + word(of, 0)) << word(of, 1) << '\n';
     return {};
 }
 
+// Gives a second operator a copy of the folder.
+failures second_operator_step(run_state& it, const step&)
+{
+    std::filesystem::copy(published_folder(it.processes),
+                          second_folder(it.processes));
+    return {};
+}
+
+std::size_t count_rejected(run_state& it, const std::vector<std::string>& hosts)
+{
+    std::size_t n = 0;
+    for (const auto& host : hosts)
+    {
+        const auto got = read_admin(it.processes, {host}, "settings");
+        const auto reason = got.find("last_rejection");
+        if (reason != got.end() && !reason->second.empty())
+            ++n;
+    }
+    return n;
+}
+
+// Exactly one of the hosts tells its operator that another one was first.
+failures one_rejected_step(run_state& it, const step& of)
+{
+    constexpr std::chrono::seconds limit{10};
+    wait_until(limit, [&] { return count_rejected(it, of.words) > 0; });
+    const auto n = count_rejected(it, of.words);
+    if (n == 1)
+        return {};
+    return failure(of, std::to_string(n) + " hosts have a rejected change");
+}
+
 failures remove_file_step(run_state& it, const step& of)
 {
     std::filesystem::remove(published_folder(it.processes) + "/" + word(of, 0));
@@ -327,6 +361,8 @@
         {"list", list_step},
         {"faults", faults_step},
         {"write_file", write_file_step},
+        {"second_operator", second_operator_step},
+        {"one_rejected", one_rejected_step},
         {"remove_file", remove_file_step},
         {"request", request_step},
         {"eventually", eventually_step},
