--- a/test/bench/policy/policy_bench.cpp
+++ b/test/bench/policy/policy_bench.cpp
@@ -52,8 +52,10 @@
 void print_run(const deployment& of, const named_policy& by, const load& under,
                const run_result& result)
 {
-    const auto flood = under.flood ? std::string(core::to_string(*under.flood))
-                                   : std::string("none");
+    const auto flood = under.all ? std::string("all")
+                       : under.flood
+                           ? std::string(core::to_string(*under.flood))
+                           : std::string("none");
     for (const auto n : core::all_ranks)
     {
         const auto& rank = result.ranks[core::index_of(n)];
@@ -70,12 +72,29 @@
     }
 }
 
+// The share of the primary's executions that deferred work gets while all
+// ranks flood. Interactive work runs on replicas, which it has to itself.
+void print_minimum(const deployment& of, const run_result& result)
+{
+    const auto done = [&](core::rank n)
+    {
+        return result.ranks[core::index_of(n)].completed_under_load;
+    };
+    const auto deferred = done(core::rank::deferred);
+    std::printf(
+        "  deferred: %.1f %% of the primary's executions, minimum %.1f %%\n",
+        percent(deferred, deferred + done(core::rank::urgent)),
+        100 * of.minimum_share[core::index_of(core::rank::deferred)]);
+}
+
 std::vector<load> all_loads()
 {
-    std::vector<load> all{{std::nullopt, 1}};
+    std::vector<load> all{{std::nullopt, false, 1}};
     for (const auto n : core::all_ranks)
         for (const double factor : {2.0, 5.0})
-            all.push_back({n, factor});
+            all.push_back({n, false, factor});
+    all.push_back({std::nullopt, true, 2.0});
+    all.push_back({std::nullopt, true, 5.0});
     return all;
 }
 
@@ -103,6 +122,8 @@
                     simulate(of, by.value, under,
                              std::chrono::seconds(FLAGS_seconds), FLAGS_seed);
                 print_run(of, by, under, result);
+                if (under.all && by.value == policy::ranked)
+                    print_minimum(of, result);
                 violations += result.violations;
             }
     return violations > 0 ? 1 : 0;
--- a/test/bench/policy/simulation.cpp
+++ b/test/bench/policy/simulation.cpp
@@ -77,6 +77,7 @@
     std::array<serving::group_state, host_count> hosts;
     std::map<core::request_id, call> calls;
     std::mt19937_64 random;
+    core::time_point arrivals_end{};
 };
 
 void after(world& w, duration delay, std::function<void()> what)
@@ -227,6 +228,8 @@
     }
     if (w.now <= c.request.deadline)
         ++rank.completed;
+    if (w.now <= w.arrivals_end)
+        ++rank.completed_under_load;
     rank.latencies.push_back(w.now - c.started);
     if (c.request.access != core::access_mode::read)
         return;
@@ -375,7 +378,7 @@
 
 duration gap_of(const deployment& of, core::rank importance, const load& under)
 {
-    const bool flood = under.flood == importance;
+    const bool flood = under.all || under.flood == importance;
     const double share =
         flood ? under.factor : base_load[core::index_of(importance)];
     const double rate = share * capacity(of, importance);
@@ -459,6 +462,7 @@
     detail::start_hosts(w);
     detail::run_until(w, w.now + std::chrono::seconds(1));
     const auto end = w.now + time;
+    w.arrivals_end = end;
     for (const auto n : core::all_ranks)
         detail::generate(w, n, detail::gap_of(of, n, under), end);
     const auto longest =
--- a/test/bench/policy/simulation.hpp
+++ b/test/bench/policy/simulation.hpp
@@ -46,6 +46,8 @@
 {
     /// Rank that floods, or none.
     std::optional<core::rank> flood;
+    /// All ranks flood.
+    bool all = false;
     /// Load of the flooding rank as a multiple of the capacity that serves it.
     double factor = 1;
 };
@@ -55,6 +57,8 @@
     std::size_t offered = 0;
     /// Answered `completed` within the deadline.
     std::size_t completed = 0;
+    /// Completed before the arrivals ended.
+    std::size_t completed_under_load = 0;
     std::size_t not_run = 0;
     std::size_t unknown = 0;
     std::vector<duration> latencies;
