--- a/apps/proxy/src/app.hpp
+++ b/apps/proxy/src/app.hpp
@@ -7,7 +7,7 @@
 
 #include "godwitbarrow/gateway/admin.hpp"
 #include "godwitbarrow/gateway/server.hpp"
-#include "godwitbarrow/platform/client.hpp"
+#include "godwitbarrow/store/client.hpp"
 #include "godwitbarrow/telemetry/metrics.hpp"
 #include "options.hpp"
 #include "tables.hpp"
@@ -32,7 +32,7 @@
     connection_table connections;
     peer_table peers;
 
-    platform::client_ptr store;
+    store::client_ptr store;
     telemetry::metrics_ptr metrics;
     gateway::gateway_ptr gateway;
     gateway::admin_ptr admin;
--- a/apps/proxy/src/failover_actions.cpp
+++ b/apps/proxy/src/failover_actions.cpp
@@ -22,17 +22,17 @@
 
 void perform_one(const target& at, const failover::read_row&)
 {
-    platform::read_row(
+    store::read_row(
         at.it.store, std::string(group_table_name), at.group->id.value,
         [&it = at.it,
-         group = at.group](const core::result<platform::versioned_value>& read)
+         group = at.group](const core::result<store::versioned_value>& read)
         {
             failover::row_read event;
             if (!ok(read))
                 event.row = std::get<core::error>(read);
             else
             {
-                const auto& n = std::get<platform::versioned_value>(read);
+                const auto& n = std::get<store::versioned_value>(read);
                 auto row = decode_row(n.value);
                 if (ok(row))
                     event.row = failover::versioned_row{
@@ -49,7 +49,7 @@
 
 void perform_one(const target& at, const failover::write_row& what)
 {
-    platform::write_row(
+    store::write_row(
         at.it.store, std::string(group_table_name), at.group->id.value,
         encode_row(what.row), what.expected_version,
         [&it = at.it,
--- a/apps/proxy/src/main.cpp
+++ b/apps/proxy/src/main.cpp
@@ -60,10 +60,10 @@
     telemetry::start_logging(it.settings_from.level);
     it.incarnation = make_incarnation();
     it.metrics = telemetry::make_metrics();
-    platform::client_options store;
+    store::client_options store;
     store.service = it.settings_from.platform;
     store.timeout = store_timeout;
-    it.store = platform::make_client(it.io.get_executor(), store);
+    it.store = store::make_client(it.io.get_executor(), store);
     boost::asio::signal_set signals(it.io, SIGTERM, SIGINT);
     await_signals(it, signals);
     int exit_code = 0;
--- a/apps/proxy/src/membership_runner.cpp
+++ b/apps/proxy/src/membership_runner.cpp
@@ -28,14 +28,14 @@
 // Hosts that the settings do not name are left out: their addresses are
 // unknown.
 membership::host_list to_host_list(const settings::settings& of,
-                                   const platform::host_list& from)
+                                   const store::host_list& from)
 {
     membership::host_list it;
     it.version = from.version;
     for (const auto& n : from.entries)
     {
-        const bool leaving = n.state == platform::host_state::leaving;
-        if (n.kind == platform::host_kind::backend_server)
+        const bool leaving = n.state == store::host_state::leaving;
+        if (n.kind == store::host_kind::backend_server)
         {
             if (leaving)
                 it.leaving_servers.push_back({n.name});
@@ -52,9 +52,9 @@
 
 void perform_one(app& it, const membership::read_host_list&)
 {
-    platform::list_hosts(
+    store::list_hosts(
         it.store,
-        [&it](const core::result<platform::host_list>& list)
+        [&it](const core::result<store::host_list>& list)
         {
             if (!ok(list))
             {
@@ -62,9 +62,9 @@
                 return post(it, membership::host_list_read{
                                     std::get<core::error>(list)});
             }
-            post(it, membership::host_list_read{
-                         to_host_list(*current_settings(it),
-                                      std::get<platform::host_list>(list))});
+            post(it,
+                 membership::host_list_read{to_host_list(
+                     *current_settings(it), std::get<store::host_list>(list))});
         });
 }
 
--- a/apps/proxy/src/settings_runner.cpp
+++ b/apps/proxy/src/settings_runner.cpp
@@ -27,9 +27,9 @@
 
 void perform_one(app& it, const settings::read_row&)
 {
-    platform::read_row(
+    store::read_row(
         it.store, table_name, row_key,
-        [&it](const core::result<platform::versioned_value>& read)
+        [&it](const core::result<store::versioned_value>& read)
         {
             settings::row_read event;
             if (!ok(read))
@@ -41,7 +41,7 @@
                     event.row = error_of(n, "read_settings_row", *it.metrics);
                 return post(it, event);
             }
-            const auto& value = std::get<platform::versioned_value>(read);
+            const auto& value = std::get<store::versioned_value>(read);
             const auto row = settings::decode_row(value.value);
             if (ok(row))
                 event.row = settings::versioned_row{
@@ -54,20 +54,20 @@
 
 void perform_one(app& it, const settings::write_row& what)
 {
-    platform::write_row(it.store, table_name, row_key,
-                        settings::encode_row(what.row), what.expected_version,
-                        [&it](const core::result<std::uint64_t>& version)
-                        {
-                            if (!ok(version))
-                                error_of(std::get<core::error>(version),
-                                         "write_settings_row", *it.metrics);
-                            post(it, settings::row_written{version});
-                        });
+    store::write_row(it.store, table_name, row_key,
+                     settings::encode_row(what.row), what.expected_version,
+                     [&it](const core::result<std::uint64_t>& version)
+                     {
+                         if (!ok(version))
+                             error_of(std::get<core::error>(version),
+                                      "write_settings_row", *it.metrics);
+                         post(it, settings::row_written{version});
+                     });
 }
 
 void perform_one(app& it, const settings::put_object& what)
 {
-    platform::put_object(
+    store::put_object(
         it.store, what.digest, settings::encode_file_set(*what.files),
         [&it](const core::result<std::monostate>& done)
         {
@@ -81,7 +81,7 @@
 
 void perform_one(app& it, const settings::get_object& what)
 {
-    platform::get_object(
+    store::get_object(
         it.store, what.digest,
         [&it, what](const core::result<std::string>& read)
         {
--- a/apps/proxy/src/views.cpp
+++ b/apps/proxy/src/views.cpp
@@ -91,14 +91,14 @@
 {
     if (!detail::may_refresh(*group))
         return;
-    platform::read_row(
+    store::read_row(
         it.store, std::string(group_table_name), group->id.value,
-        [&it, group](const core::result<platform::versioned_value>& read)
+        [&it, group](const core::result<store::versioned_value>& read)
         {
             if (!ok(read))
                 return;
             const auto row =
-                decode_row(std::get<platform::versioned_value>(read).value);
+                decode_row(std::get<store::versioned_value>(read).value);
             if (!ok(row))
                 return;
             const auto& n = std::get<failover::group_row>(row);
--- a/libs/platform/include/godwitbarrow/platform/client.hpp
+++ b/libs/store/include/godwitbarrow/store/client.hpp
@@ -12,7 +12,7 @@
 
 #include "godwitbarrow/core/endpoint.hpp"
 #include "godwitbarrow/core/error.hpp"
-#include "godwitbarrow/platform/records.hpp"
+#include "godwitbarrow/store/records.hpp"
 
 /// Client of the platform's table service, object store and host list.
 ///
@@ -20,7 +20,7 @@
 /// the client, and never before the function has returned. Every call fails
 /// with `store_unavailable` if the service is down, answers late or has too
 /// many calls waiting here.
-namespace godwitbarrow::platform
+namespace godwitbarrow::store
 {
 
 /// Calls that may wait for one of `max_concurrent`; more fail at once.
@@ -66,4 +66,4 @@
 void list_hosts(const client_ptr& it,
                 std::function<void(core::result<host_list>)> handler);
 
-}  // namespace godwitbarrow::platform
+}  // namespace godwitbarrow::store
--- a/libs/platform/include/godwitbarrow/platform/codec.hpp
+++ b/libs/store/include/godwitbarrow/store/codec.hpp
@@ -6,13 +6,13 @@
 #include <vector>
 
 #include "godwitbarrow/core/error.hpp"
-#include "godwitbarrow/platform/records.hpp"
+#include "godwitbarrow/store/records.hpp"
 
 /// The platform's HTTP/JSON protocol without I/O. The decode functions take
 /// the HTTP status code and the body of an answer. They give `conflict` for
 /// 409, `not_found` for 404, `store_unavailable` for 5xx and `protocol_error`
 /// for anything that they do not understand.
-namespace godwitbarrow::platform
+namespace godwitbarrow::store
 {
 
 /// Path of a row; both names are percent-encoded.
@@ -28,4 +28,4 @@
 core::result<std::string> decode_object(unsigned code, std::string body);
 core::result<host_list> decode_hosts(unsigned code, std::string_view body);
 
-}  // namespace godwitbarrow::platform
+}  // namespace godwitbarrow::store
--- a/libs/platform/include/godwitbarrow/platform/records.hpp
+++ b/libs/store/include/godwitbarrow/store/records.hpp
@@ -5,7 +5,7 @@
 #include <vector>
 
 /// What the platform's service stores and reports.
-namespace godwitbarrow::platform
+namespace godwitbarrow::store
 {
 
 /// A row of the table service. The first write of a row gives version 1.
@@ -42,4 +42,4 @@
     std::vector<host_entry> entries;
 };
 
-}  // namespace godwitbarrow::platform
+}  // namespace godwitbarrow::store
--- a/libs/platform/src/client.cpp
+++ b/libs/store/src/client.cpp
@@ -1,4 +1,4 @@
-#include "godwitbarrow/platform/client.hpp"
+#include "godwitbarrow/store/client.hpp"
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
@@ -8,9 +8,9 @@
 
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/http/link.hpp"
-#include "godwitbarrow/platform/codec.hpp"
+#include "godwitbarrow/store/codec.hpp"
 
-namespace godwitbarrow::platform
+namespace godwitbarrow::store
 {
 
 namespace asio = boost::asio;
@@ -249,4 +249,4 @@
         detail::decoding<host_list>(decode_hosts, std::move(handler)));
 }
 
-}  // namespace godwitbarrow::platform
+}  // namespace godwitbarrow::store
--- a/libs/platform/src/codec.cpp
+++ b/libs/store/src/codec.cpp
@@ -1,11 +1,11 @@
-#include "godwitbarrow/platform/codec.hpp"
+#include "godwitbarrow/store/codec.hpp"
 
 #include <boost/json.hpp>
 #include <exception>
 #include <optional>
 #include <stdexcept>
 
-namespace godwitbarrow::platform
+namespace godwitbarrow::store
 {
 
 namespace json = boost::json;
@@ -184,4 +184,4 @@
     return detail::decode<host_list>(code, body, detail::read_hosts);
 }
 
-}  // namespace godwitbarrow::platform
+}  // namespace godwitbarrow::store
--- a/libs/platform/test/client_test.cpp
+++ b/libs/store/test/client_test.cpp
@@ -1,4 +1,4 @@
-#include "godwitbarrow/platform/client.hpp"
+#include "godwitbarrow/store/client.hpp"
 
 #include <algorithm>
 #include <atomic>
@@ -14,7 +14,7 @@
 #include "godwitbarrow/standins/test_loop.hpp"
 
 using namespace godwitbarrow;
-using namespace godwitbarrow::platform;
+using namespace godwitbarrow::store;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
 using core::error_kind;
--- a/libs/platform/test/codec_test.cpp
+++ b/libs/store/test/codec_test.cpp
@@ -1,9 +1,9 @@
-#include "godwitbarrow/platform/codec.hpp"
+#include "godwitbarrow/store/codec.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace godwitbarrow;
-using namespace godwitbarrow::platform;
+using namespace godwitbarrow::store;
 using core::error_kind;
 
 namespace
--- a/test/standins/src/platform.cpp
+++ b/test/standins/src/platform.cpp
@@ -135,8 +135,8 @@
 
 http_reply show_hosts(platform_service& it)
 {
-    using platform::host_kind;
-    using platform::host_state;
+    using store::host_kind;
+    using store::host_state;
     json::array all;
     const auto list =
         shown_hosts(it.state, it.options.host_lag, core::runtime_clock::now());
@@ -151,10 +151,10 @@
             false};
 }
 
-platform::host_entry host_of(const json::object& o)
+store::host_entry host_of(const json::object& o)
 {
-    using platform::host_kind;
-    using platform::host_state;
+    using store::host_kind;
+    using store::host_state;
     const auto kind = text(o, "kind");
     const auto state = text(o, "state");
     if ((kind != "host" && kind != "backend_server") ||
@@ -168,7 +168,7 @@
 http_reply change_hosts(platform_service& it, const std::string& body)
 {
     const auto value = parse(body);
-    std::vector<platform::host_entry> hosts;
+    std::vector<store::host_entry> hosts;
     for (const auto& v : value.as_object().at("hosts").as_array())
         hosts.push_back(host_of(v.as_object()));
     set_hosts(it.state, std::move(hosts), core::runtime_clock::now());
--- a/test/standins/src/platform_state.cpp
+++ b/test/standins/src/platform_state.cpp
@@ -19,9 +19,9 @@
 }  // namespace
 }  // namespace detail
 
-std::optional<platform::versioned_value> find_row(const platform_state& it,
-                                                  const std::string& table,
-                                                  const std::string& key)
+std::optional<store::versioned_value> find_row(const platform_state& it,
+                                               const std::string& table,
+                                               const std::string& key)
 {
     const auto found = it.rows.find(table + "/" + key);
     if (found == it.rows.end())
@@ -45,20 +45,19 @@
     return versions;
 }
 
-void set_hosts(platform_state& it, std::vector<platform::host_entry> hosts,
+void set_hosts(platform_state& it, std::vector<store::host_entry> hosts,
                core::time_point now)
 {
     it.host_lists.push_back({now, {++it.host_list_version, std::move(hosts)}});
 }
 
-platform::host_list shown_hosts(platform_state& it,
-                                std::chrono::milliseconds lag,
-                                core::time_point now)
+store::host_list shown_hosts(platform_state& it, std::chrono::milliseconds lag,
+                             core::time_point now)
 {
     auto& lists = it.host_lists;
     while (lists.size() > 1 && lists[1].made_at + lag <= now)
         lists.pop_front();
-    return lists.empty() ? platform::host_list() : lists.front().list;
+    return lists.empty() ? store::host_list() : lists.front().list;
 }
 
 }  // namespace godwitbarrow::standins
--- a/test/standins/test/platform_state_test.cpp
+++ b/test/standins/test/platform_state_test.cpp
@@ -31,8 +31,8 @@
 // Guards against tests in which the list is better than the real one.
 BOOST_AUTO_TEST_CASE(a_change_is_shown_after_the_lag)
 {
-    using platform::host_kind;
-    using platform::host_state;
+    using store::host_kind;
+    using store::host_state;
     platform_state it;
     set_hosts(it, {{"h", host_kind::host, host_state::live}}, {});
     const auto t = core::time_point(1s);
