Serve sessions of the platform's callers over pooled connections

Adds libs/pooler (decisions about sessions, freshness, placement and connections), libs/stream (TCP lines), platform/ (names, formats and calls) and the mode pooler of the proxy. Reads of the newest data run in a plain transaction, which only a primary accepts; reads of bounded age run on replicas after a position that the primary had reached in an exchange begun within the age. The runtime clock now counts the time of a suspended machine.

Promotion of replicas is not built yet.

--- a/apps/proxy/src/options.cpp
+++ b/apps/proxy/src/options.cpp
@@ -2,8 +2,16 @@
 
 #include <gflags/gflags.h>
 
+#include <cstdlib>
 #include <sstream>
 
+#include "godwitbarrow/platform/environment.hpp"
+
+DEFINE_string(mode, "gateway",
+              "gateway: requests over HTTP; pooler: sessions of the platform");
+DEFINE_string(host_settings, "",
+              "settings file of this host for --mode=pooler; without it, the "
+              "file that the platform names");
 DEFINE_string(host, "", "name of this host in the settings");
 DEFINE_string(platform, "", "address of the platform's service, IP:PORT");
 DEFINE_string(folder, "",
@@ -43,6 +51,19 @@
     return it;
 }
 
+core::result<options> pooler_options()
+{
+    options it;
+    it.mode = process_mode::pooler;
+    it.host_settings = FLAGS_host_settings;
+    const auto* named = std::getenv(platform::settings_variable);
+    if (it.host_settings.empty() && named)
+        it.host_settings = named;
+    if (it.host_settings.empty())
+        return bad_flag("host_settings", "name the settings file of this host");
+    return it;
+}
+
 }  // namespace
 }  // namespace detail
 
@@ -55,6 +76,10 @@
         return core::error{core::error_kind::invalid_settings,
                            std::string("\"") + argv[1] +
                                "\" is not a flag; see --help for the flags"};
+    if (FLAGS_mode == "pooler")
+        return detail::pooler_options();
+    if (FLAGS_mode != "gateway")
+        return detail::bad_flag("mode", "write gateway or pooler");
     if (FLAGS_host.empty())
         return detail::bad_flag("host", "name this host as the settings do");
     it.host = {FLAGS_host};
--- a/apps/proxy/src/options.hpp
+++ b/apps/proxy/src/options.hpp
@@ -12,9 +12,21 @@
 namespace godwitbarrow::proxy
 {
 
+/// What the process does.
+enum class process_mode
+{
+    /// Serves requests over HTTP, with its own peers and settings folder.
+    gateway,
+    /// Serves sessions of the platform's callers over pooled connections.
+    pooler
+};
+
 /// The command line.
 struct options
 {
+    process_mode mode = process_mode::gateway;
+    /// Settings file of this host, in the mode `pooler`.
+    std::string host_settings;
     core::host_id host;
     core::endpoint platform;
     /// Folder of settings that this host publishes; empty for none.
--- /dev/null
+++ b/apps/proxy/src/pooled/app.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+
+#include "godwitbarrow/core/clock.hpp"
+#include "godwitbarrow/core/lock_order.hpp"
+#include "godwitbarrow/gateway/admin.hpp"
+#include "godwitbarrow/pooler/decide.hpp"
+#include "godwitbarrow/stream/connection.hpp"
+#include "godwitbarrow/telemetry/metrics.hpp"
+#include "host_settings.hpp"
+
+/// The pooler as a process: connections, timers and the store around the
+/// decisions of `pooler`.
+namespace godwitbarrow::proxy::pooled
+{
+
+/// Sessions, members and what is still to be done for them, in order.
+struct decision_table
+{
+    core::ordered_mutex<core::lock_level::group_state> mutex;
+    pooler::state state;
+    std::deque<pooler::action> outbox;
+    /// Whether a thread performs the actions of `outbox`.
+    bool performing = false;
+};
+
+struct link_table
+{
+    core::ordered_mutex<core::lock_level::connections> mutex;
+    std::unordered_map<pooler::session_number, stream::connection_ptr> callers;
+    std::unordered_map<pooler::connection_number, stream::connection_ptr>
+        members;
+};
+
+struct app
+{
+    explicit app(host_settings it)
+        : settings(std::move(it)),
+          io(static_cast<int>(settings.workers)),
+          acceptor(io),
+          tick(io)
+    {
+    }
+
+    const host_settings settings;
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::acceptor acceptor;
+    decision_table decisions;
+    link_table links;
+    std::atomic<pooler::session_number> last_session{0};
+    core::timer tick;
+    std::atomic<bool> ticking{false};
+    std::atomic<bool> ready{false};
+    telemetry::metrics_ptr metrics;
+    gateway::admin_ptr readiness;
+    gateway::admin_ptr metrics_server;
+};
+
+/// Lets the pooler decide on the event and performs what it decided.
+void handle(app& it, const pooler::event& what);
+
+}  // namespace godwitbarrow::proxy::pooled
--- /dev/null
+++ b/apps/proxy/src/pooled/callers.cpp
@@ -0,0 +1,168 @@
+#include <boost/asio/strand.hpp>
+#include <mutex>
+
+#include "godwitbarrow/platform/caller_wire.hpp"
+#include "godwitbarrow/telemetry/log.hpp"
+#include "links.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+namespace detail
+{
+namespace
+{
+
+using tcp = boost::asio::ip::tcp;
+
+/// After a failed accept, for example for want of descriptors.
+constexpr std::chrono::milliseconds accept_back_off{50};
+
+stream::connection_ptr find_caller(app& it, pooler::session_number session)
+{
+    std::lock_guard lock(it.links.mutex);
+    const auto n = it.links.callers.find(session);
+    return n == it.links.callers.end() ? nullptr : n->second;
+}
+
+stream::connection_ptr take_caller(app& it, pooler::session_number session)
+{
+    std::lock_guard lock(it.links.mutex);
+    const auto n = it.links.callers.find(session);
+    if (n == it.links.callers.end())
+        return nullptr;
+    auto out = n->second;
+    it.links.callers.erase(n);
+    return out;
+}
+
+void disconnect(app& it, pooler::session_number session)
+{
+    if (const auto c = take_caller(it, session))
+        stream::close(c);
+    handle(it, pooler::caller_gone{session});
+}
+
+void take_line(app& it, pooler::session_number session, bool& started,
+               std::string_view line)
+{
+    auto parsed = platform::parse_caller_line(line);
+    auto* message = std::get_if<platform::caller_message>(&parsed);
+    if (!message || std::holds_alternative<platform::terminate>(*message))
+        return disconnect(it, session);
+    const auto* first = std::get_if<platform::startup>(message);
+    if ((first != nullptr) == started)
+        return disconnect(it, session);
+    started = true;
+    if (first)
+        return handle(it, pooler::caller_started{session, first->database});
+    handle(it, pooler::caller_query{
+                   session, std::get<pooler::query>(std::move(*message))});
+}
+
+void add_caller(app& it, tcp::socket socket)
+{
+    const auto session = ++it.last_session;
+    stream::handlers on;
+    on.received = [&it, session, started = false](std::string_view line) mutable
+    {
+        take_line(it, session, started, line);
+    };
+    on.closed = [&it, session](const std::string&)
+    {
+        disconnect(it, session);
+    };
+    const auto c = stream::adopt(std::move(socket), std::move(on));
+    {
+        std::lock_guard lock(it.links.mutex);
+        it.links.callers.emplace(session, c);
+    }
+    stream::start(c);
+}
+
+void accept_next(app& it);
+
+void accept_later(app& it)
+{
+    const auto pause = std::make_shared<core::timer>(it.io, accept_back_off);
+    pause->async_wait(
+        [&it, pause](boost::system::error_code ec)
+        {
+            if (!ec)
+                accept_next(it);
+        });
+}
+
+void accept_next(app& it)
+{
+    it.acceptor.async_accept(
+        [&it](boost::system::error_code ec, tcp::socket socket)
+        {
+            if (ec == boost::asio::error::operation_aborted)
+                return;
+            if (ec)
+            {
+                telemetry::log_event(telemetry::log_level::warning,
+                                     "cannot accept a caller",
+                                     {{"reason", ec.message()}});
+                return accept_later(it);
+            }
+            add_caller(it, std::move(socket));
+            accept_next(it);
+        });
+}
+
+}  // namespace
+}  // namespace detail
+
+core::result<std::monostate> listen_for_callers(app& it)
+{
+    boost::system::error_code ec;
+    const auto& at = it.settings.callers;
+    const auto address = boost::asio::ip::make_address(at.address, ec);
+    const detail::tcp::endpoint to(address, at.port);
+    if (!ec)
+        it.acceptor.open(to.protocol(), ec);
+    if (!ec)
+        it.acceptor.set_option(boost::asio::socket_base::reuse_address(true),
+                               ec);
+    if (!ec)
+        it.acceptor.bind(to, ec);
+    if (!ec)
+        it.acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                           ec);
+    if (ec)
+        return core::error{core::error_kind::invalid_settings,
+                           "cannot listen on " + core::to_string(at) + " (" +
+                               ec.message() + "); free the address"};
+    detail::accept_next(it);
+    return std::monostate{};
+}
+
+void accept(app& it, const pooler::accept_caller& what)
+{
+    if (const auto c = detail::find_caller(it, what.session))
+        stream::send(c, platform::encode_accepted());
+}
+
+void refuse(app& it, const pooler::refuse_caller& what)
+{
+    const auto c = detail::take_caller(it, what.session);
+    if (!c)
+        return;
+    stream::send(c, platform::encode_refusal(what.why));
+    stream::close_after_sending(c);
+}
+
+void reply(app& it, const pooler::reply_to_caller& what)
+{
+    if (const auto c = detail::find_caller(it, what.session))
+        stream::send(c, platform::encode_answer(what.what));
+}
+
+void close_session(app& it, pooler::session_number session)
+{
+    if (const auto c = detail::take_caller(it, session))
+        stream::close_after_sending(c);
+}
+
+}  // namespace godwitbarrow::proxy::pooled
--- /dev/null
+++ b/apps/proxy/src/pooled/host_settings.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+
+#include "godwitbarrow/core/endpoint.hpp"
+#include "godwitbarrow/core/error.hpp"
+#include "godwitbarrow/core/names.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+
+/// What a host is told about itself, from its INI file.
+struct host_settings
+{
+    core::host_id name;
+    core::data_centre_id data_centre;
+    std::size_t workers = 1;
+    core::endpoint callers;
+    core::endpoint readiness;
+    /// Path that the balancer asks for.
+    std::string readiness_path = "/healthz";
+    std::optional<core::endpoint> metrics;
+    core::endpoint store;
+    /// Where promotions are called for.
+    core::endpoint promotions;
+    /// From a signal to stop until the process is killed.
+    std::chrono::milliseconds grace{5000};
+    /// A leaving member gets no new statement after this time.
+    std::chrono::milliseconds leaving_limit{5000};
+};
+
+/// Reads the file. Errors: invalid_settings with the line or the key and the
+/// remedy.
+core::result<host_settings> read_host_settings(const std::string& path);
+
+core::result<host_settings> parse_host_settings(const std::string& text);
+
+}  // namespace godwitbarrow::proxy::pooled
--- /dev/null
+++ b/apps/proxy/src/pooled/run.cpp
@@ -0,0 +1,176 @@
+#include "run.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "app.hpp"
+#include "godwitbarrow/telemetry/log.hpp"
+#include "links.hpp"
+#include "store_watch.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+namespace detail
+{
+namespace
+{
+
+constexpr int exit_bad_settings = 2;
+constexpr std::chrono::milliseconds slow_tick{1000};
+constexpr std::chrono::milliseconds shutdown_check{50};
+/// The balancer sends new connections until it has asked twice, once a second.
+constexpr std::chrono::milliseconds balancer_delay{2300};
+/// Left of the grace for the end of the process.
+constexpr std::chrono::milliseconds exit_margin{500};
+
+void keep_ticking(app& it, const std::shared_ptr<core::timer>& t)
+{
+    t->expires_after(slow_tick);
+    t->async_wait(
+        [&it, t](boost::system::error_code ec)
+        {
+            if (ec)
+                return;
+            handle(it, pooler::time_passed{});
+            keep_ticking(it, t);
+        });
+}
+
+void await_end(app& it, core::time_point began,
+               const std::shared_ptr<core::timer>& t)
+{
+    std::size_t open = 0;
+    {
+        std::lock_guard lock(it.decisions.mutex);
+        open = pooler::open_sessions(it.decisions.state);
+    }
+    const auto waited = core::runtime_clock::now() - began;
+    const bool finished = open == 0 && waited >= balancer_delay;
+    if (finished || waited >= it.settings.grace - exit_margin)
+    {
+        telemetry::log_event(telemetry::log_level::info, "stopped",
+                             {{"open_sessions", open}, {"after", waited}});
+        return it.io.stop();
+    }
+    t->expires_after(shutdown_check);
+    t->async_wait([&it, began, t](boost::system::error_code)
+                  { await_end(it, began, t); });
+}
+
+void shut_down(app& it)
+{
+    telemetry::log_event(telemetry::log_level::info, "stopping",
+                         {{"grace", it.settings.grace}});
+    handle(it, pooler::shutdown_started{});
+    await_end(it, core::runtime_clock::now(),
+              std::make_shared<core::timer>(it.io));
+}
+
+void await_signals(app& it, boost::asio::signal_set& signals, bool stopping)
+{
+    signals.async_wait(
+        [&it, &signals, stopping](boost::system::error_code ec, int number)
+        {
+            if (ec)
+                return;
+            const bool stop = number != SIGHUP;
+            if (stop && !stopping)
+                shut_down(it);
+            await_signals(it, signals, stopping || stop);
+        });
+}
+
+gateway::admin_response readiness_of(app& it)
+{
+    const bool ready = it.ready;
+    return {ready ? 200U : 503U, "text/plain", ready ? "ok\n" : "not ready\n"};
+}
+
+core::result<std::monostate> start_http(app& it)
+{
+    auto ready = gateway::start_admin(
+        it.io.get_executor(), it.settings.readiness,
+        [&it](std::string_view path) -> std::optional<gateway::admin_response>
+        {
+            if (path != it.settings.readiness_path)
+                return std::nullopt;
+            return readiness_of(it);
+        },
+        it.settings.readiness_path);
+    if (const auto* e = std::get_if<core::error>(&ready))
+        return *e;
+    it.readiness = std::get<gateway::admin_ptr>(ready);
+    if (!it.settings.metrics)
+        return std::monostate{};
+    auto metrics = gateway::start_admin(
+        it.io.get_executor(), *it.settings.metrics,
+        [&it](std::string_view path) -> std::optional<gateway::admin_response>
+        {
+            if (path == "/metrics")
+                return gateway::admin_response{200, "text/plain",
+                                               telemetry::expose(*it.metrics)};
+            return readiness_of(it);
+        });
+    if (const auto* e = std::get_if<core::error>(&metrics))
+        return *e;
+    it.metrics_server = std::get<gateway::admin_ptr>(metrics);
+    return std::monostate{};
+}
+
+core::result<std::monostate> start(app& it)
+{
+    it.metrics = telemetry::make_metrics();
+    it.decisions.state.settings.data_centre = it.settings.data_centre;
+    auto http = start_http(it);
+    if (!ok(http))
+        return http;
+    watch_store(it);
+    return listen_for_callers(it);
+}
+
+void run_workers(app& it)
+{
+    std::vector<std::thread> workers;
+    for (std::size_t n = 1; n < it.settings.workers; ++n)
+        workers.emplace_back([&it] { it.io.run(); });
+    it.io.run();
+    for (auto& n : workers)
+        n.join();
+}
+
+}  // namespace
+}  // namespace detail
+
+int run(const std::string& settings_path)
+{
+    auto read = read_host_settings(settings_path);
+    if (const auto* e = std::get_if<core::error>(&read))
+    {
+        std::cerr << settings_path << ": " << e->message << '\n';
+        return detail::exit_bad_settings;
+    }
+    telemetry::start_logging();
+    app it(std::get<host_settings>(std::move(read)));
+    boost::asio::signal_set signals(it.io, SIGTERM, SIGINT, SIGHUP);
+    detail::await_signals(it, signals, false);
+    const auto started = detail::start(it);
+    if (const auto* e = std::get_if<core::error>(&started))
+    {
+        telemetry::log_event(telemetry::log_level::error, "cannot serve",
+                             {{"reason", e->message}});
+        return detail::exit_bad_settings;
+    }
+    detail::keep_ticking(it, std::make_shared<core::timer>(it.io));
+    telemetry::log_event(telemetry::log_level::info, "started",
+                         {{"host", it.settings.name},
+                          {"data_centre", it.settings.data_centre},
+                          {"workers", it.settings.workers}});
+    detail::run_workers(it);
+    return 0;
+}
+
+}  // namespace godwitbarrow::proxy::pooled
--- a/libs/admission/include/godwitbarrow/admission/queue.hpp
+++ b/libs/admission/include/godwitbarrow/admission/queue.hpp
@@ -86,6 +86,10 @@
 /// Adds an entry that was accepted before, without the bound.
 void enqueue_again(queue_state& it, const queued& entry);
 
+/// Puts an entry back that was dispatched and not run, before all others of
+/// its rank.
+void enqueue_first(queue_state& it, const queued& entry);
+
 /// Takes the entry that the next free slot goes to and counts it as running.
 /// `ready` tells whether an entry could use a connection now. Absent if no
 /// slot is free for an entry that is ready.
--- a/libs/admission/src/queue.cpp
+++ b/libs/admission/src/queue.cpp
@@ -186,6 +186,11 @@
     it.waiting[core::index_of(entry.importance)].push_back(entry);
 }
 
+void enqueue_first(queue_state& it, const queued& entry)
+{
+    it.waiting[core::index_of(entry.importance)].push_front(entry);
+}
+
 std::optional<queued> take_next(queue_state& it, const queue_settings& settings,
                                 const std::function<bool(const queued&)>& ready)
 {
--- a/libs/core/include/godwitbarrow/core/clock.hpp
+++ b/libs/core/include/godwitbarrow/core/clock.hpp
@@ -10,7 +10,8 @@
 namespace godwitbarrow::core
 {
 
-/// Monotonic clock with a resolution of one nanosecond. `pause`, `advance`
+/// Monotonic clock with a resolution of one nanosecond, which also runs while
+/// the machine is suspended. `pause`, `advance`
 /// and `resume` are for tests and act on the whole process.
 struct runtime_clock
 {
--- a/libs/core/src/clock.cpp
+++ b/libs/core/src/clock.cpp
@@ -1,5 +1,7 @@
 #include "godwitbarrow/core/clock.hpp"
 
+#include <ctime>
+
 namespace godwitbarrow::core
 {
 namespace detail
@@ -15,8 +17,12 @@
 
 std::int64_t steady_ns() noexcept
 {
-    const auto t = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(t).count();
+    // The steady clock stands still while a machine is suspended; leases and
+    // ages of data do not.
+    timespec t{};
+    clock_gettime(CLOCK_BOOTTIME, &t);
+    constexpr std::int64_t ns_per_s = 1'000'000'000;
+    return std::int64_t{t.tv_sec} * ns_per_s + t.tv_nsec;
 }
 
 }  // namespace
--- a/libs/gateway/include/godwitbarrow/gateway/admin.hpp
+++ b/libs/gateway/include/godwitbarrow/gateway/admin.hpp
@@ -33,11 +33,12 @@
 struct admin_server;
 using admin_ptr = std::shared_ptr<admin_server>;
 
-/// Serves until `stop`. Errors: invalid_settings if the endpoint cannot be
-/// bound.
+/// Serves until `stop`. `health_path` takes the place of "/healthz" where a
+/// balancer asks for another path. Errors: invalid_settings if the endpoint
+/// cannot be bound.
 core::result<admin_ptr> start_admin(
     const boost::asio::any_io_executor& executor, const core::endpoint& at,
-    admin_handler handler);
+    admin_handler handler, const std::string& health_path = "/healthz");
 
 /// The bound endpoint, with the real port if port 0 was asked for.
 core::endpoint local_endpoint(const admin_ptr& it);
--- a/libs/gateway/src/admin.cpp
+++ b/libs/gateway/src/admin.cpp
@@ -21,9 +21,9 @@
 constexpr unsigned http_not_allowed = 405;
 constexpr unsigned http_internal_error = 500;
 
-bool is_admin_path(std::string_view path)
+bool is_admin_path(std::string_view path, const std::string& health_path)
 {
-    if (path == "/healthz" || path == "/metrics")
+    if (path == health_path || path == "/metrics")
         return true;
     return path.size() > admin_prefix.size() &&
            path.substr(0, admin_prefix.size()) == admin_prefix;
@@ -57,12 +57,13 @@
 }
 
 http_reply make_reply(const http_request& req, const core::request_id& id,
-                      const admin_handler& handler)
+                      const admin_handler& handler,
+                      const std::string& health_path)
 {
     if (req.method() != boost::beast::http::verb::get)
         return wrong_method(id);
     const auto path = path_of(req);
-    if (!is_admin_path(path))
+    if (!is_admin_path(path, health_path))
         return no_route(id);
     auto got = handler(path);
     if (!got)
@@ -81,19 +82,19 @@
 
 core::result<admin_ptr> start_admin(
     const boost::asio::any_io_executor& executor, const core::endpoint& at,
-    admin_handler handler)
+    admin_handler handler, const std::string& health_path)
 {
     gateway_limits limits;
     limits.open_connections = detail::admin_connections;
     limits.body_bytes = detail::admin_body_bytes;
     detail::http_handlers http;
     http.on_request =
-        [handler = std::move(handler)](const detail::session_ptr& from,
-                                       const detail::http_request& req)
+        [handler = std::move(handler), health_path](
+            const detail::session_ptr& from, const detail::http_request& req)
     {
         const auto id = std::get<core::request_id>(resolve_request_id({}));
         reply_to(from, current_exchange(from),
-                 detail::make_reply(req, id, handler));
+                 detail::make_reply(req, id, handler, health_path));
     };
     auto made = detail::start_http(executor, at, limits, std::move(http));
     if (const auto* e = std::get_if<core::error>(&made))
--- a/libs/http/include/godwitbarrow/http/link.hpp
+++ b/libs/http/include/godwitbarrow/http/link.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/endpoint.hpp"
@@ -27,11 +28,19 @@
     post
 };
 
+struct header
+{
+    std::string name;
+    std::string value;
+};
+
 struct call
 {
     method verb = method::get;
     std::string target;
     std::string body;
+    /// Besides those that every call carries.
+    std::vector<header> headers = {};
 };
 
 struct answer
--- a/libs/http/src/link.cpp
+++ b/libs/http/src/link.cpp
@@ -180,6 +180,8 @@
     r.set(beast_http::field::host, it.host);
     if (request.verb != method::get)
         r.set(beast_http::field::content_type, "application/json");
+    for (const auto& n : request.headers)
+        r.set(n.name, n.value);
     r.body() = std::move(request.body);
     r.prepare_payload();
     return c;
--- /dev/null
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "godwitbarrow/pooler/configuration.hpp"
+#include "godwitbarrow/pooler/statement.hpp"
+
+/// Inputs and outputs of the decisions of the pooler.
+namespace godwitbarrow::pooler
+{
+
+using session_number = std::uint64_t;
+using connection_number = std::uint64_t;
+
+/// A caller connected and named its database.
+struct caller_started
+{
+    session_number session = 0;
+    std::string database;
+};
+
+struct caller_query
+{
+    session_number session = 0;
+    query what;
+};
+
+/// The caller closed its connection or the connection broke.
+struct caller_gone
+{
+    session_number session = 0;
+};
+
+/// The member accepted the connection.
+struct member_connected
+{
+    connection_number connection = 0;
+    std::optional<core::log_position> at;
+};
+
+struct member_answered
+{
+    connection_number connection = 0;
+    answer what;
+};
+
+/// The connection could not be opened or broke.
+struct member_lost
+{
+    connection_number connection = 0;
+    std::optional<failure> refusal;
+    std::string reason;
+};
+
+struct configuration_changed
+{
+    configuration to;
+};
+
+/// All members that are registered now.
+struct members_changed
+{
+    std::vector<registration> to;
+};
+
+/// Hosts of the proxy that share the connections of the members.
+struct hosts_counted
+{
+    std::size_t live = 1;
+};
+
+/// Time passed; waiting statements and silent members may be due.
+struct time_passed
+{
+};
+
+struct shutdown_started
+{
+};
+
+using event =
+    std::variant<caller_started, caller_query, caller_gone, member_connected,
+                 member_answered, member_lost, configuration_changed,
+                 members_changed, hosts_counted, time_passed, shutdown_started>;
+
+struct accept_caller
+{
+    session_number session = 0;
+};
+
+/// The session does not start; the connection is closed after the refusal.
+struct refuse_caller
+{
+    session_number session = 0;
+    failure why;
+};
+
+struct reply_to_caller
+{
+    session_number session = 0;
+    answer what;
+};
+
+struct close_caller
+{
+    session_number session = 0;
+};
+
+struct open_connection
+{
+    connection_number connection = 0;
+    core::group_id group;
+    core::server_id server;
+    core::endpoint address;
+};
+
+/// Statements that the member executes in order.
+struct send_to_member
+{
+    connection_number connection = 0;
+    std::vector<query> statements;
+};
+
+struct close_connection
+{
+    connection_number connection = 0;
+};
+
+/// A decision for the log: a request that was refused or failed, or a change
+/// of what this host believes.
+struct decision_note
+{
+    /// Whether it is about a caller's request, whose lines are limited.
+    bool about_request = false;
+    std::string what;
+    core::request_id request;
+    core::group_id group;
+    core::server_id server;
+    std::string detail;
+};
+
+/// A caller's statement ended, for the metrics.
+struct statement_ended
+{
+    core::rank importance = core::rank::deferred;
+    bool succeeded = false;
+    /// Empty on success.
+    std::string reason;
+    std::chrono::nanoseconds took{0};
+    std::chrono::nanoseconds waited{0};
+};
+
+using action = std::variant<accept_caller, refuse_caller, reply_to_caller,
+                            close_caller, open_connection, send_to_member,
+                            close_connection, decision_note, statement_ended>;
+using actions = std::vector<action>;
+
+}  // namespace godwitbarrow::pooler
--- /dev/null
+++ b/libs/pooler/src/connections.cpp
@@ -0,0 +1,187 @@
+#include "connections.hpp"
+
+#include <algorithm>
+
+namespace godwitbarrow::pooler::detail
+{
+namespace
+{
+
+/// Prepared statements on one connection, beyond which it is cleared.
+constexpr std::size_t most_prepared = 256;
+
+bool includes(const std::map<std::string, std::string>& all,
+              const std::map<std::string, std::string>& names)
+{
+    return std::all_of(names.begin(), names.end(),
+                       [&](const auto& n) { return all.count(n.first) > 0; });
+}
+
+enum class switch_cost
+{
+    none,
+    set_values,
+    reset
+};
+
+switch_cost cost_of(const backend_connection& c, const caller_session& s)
+{
+    if (c.values == s.values)
+        return switch_cost::none;
+    return includes(s.values, c.values) ? switch_cost::set_values
+                                        : switch_cost::reset;
+}
+
+statement own(verb kind, std::string name = {}, std::string text = {})
+{
+    return {kind, std::move(name), false, std::move(text)};
+}
+
+}  // namespace
+
+std::size_t connection_limit(const state& all, const group& g)
+{
+    return std::max<std::size_t>(
+        g.settings.max_connections / std::max<std::size_t>(all.live_hosts, 1),
+        1);
+}
+
+std::size_t running_limit(const state& all, const member& m)
+{
+    const auto hosts = std::max<std::size_t>(all.live_hosts, 1);
+    const auto total = m.about.slots * all.settings.statements_per_slot;
+    return std::max<std::size_t>((total + hosts - 1) / hosts, 2);
+}
+
+connection_number pick_idle(const state& all, const member& m,
+                            const caller_session& s)
+{
+    connection_number best = 0;
+    auto best_cost = switch_cost::reset;
+    for (const auto number : m.connections)
+    {
+        const auto& c = all.connections.at(number);
+        if (c.phase != connection_phase::idle)
+            continue;
+        const auto cost = cost_of(c, s);
+        if (best != 0 && cost >= best_cost)
+            continue;
+        best = number;
+        best_cost = cost;
+        if (cost == switch_cost::none)
+            break;
+    }
+    return best;
+}
+
+void open_if_allowed(context& in, group& g, member& m)
+{
+    if (m.connections.size() >= connection_limit(in.all, g))
+        return;
+    if (m.open_after && *m.open_after > in.now)
+        return;
+    const auto opening = std::count_if(
+        m.connections.begin(), m.connections.end(),
+        [&](connection_number n) {
+            return in.all.connections.at(n).phase == connection_phase::opening;
+        });
+    if (static_cast<std::size_t>(opening) >= in.all.settings.opening_at_once)
+        return;
+    const auto number = ++in.all.last_connection;
+    backend_connection c;
+    c.group = m.about.group;
+    c.server = m.about.server;
+    c.since = in.now;
+    in.all.connections.emplace(number, std::move(c));
+    m.connections.insert(number);
+    in.out.push_back(open_connection{number, m.about.group, m.about.server,
+                                     m.about.address});
+}
+
+void forget_connection(context& in, connection_number number)
+{
+    const auto it = in.all.connections.find(number);
+    if (it == in.all.connections.end())
+        return;
+    const auto g = in.all.groups.find(it->second.group);
+    if (g != in.all.groups.end())
+    {
+        const auto m = g->second.members.find(it->second.server);
+        if (m != g->second.members.end())
+        {
+            m->second.connections.erase(number);
+            if (it->second.phase == connection_phase::busy &&
+                m->second.running > 0)
+                --m->second.running;
+        }
+    }
+    in.all.connections.erase(it);
+}
+
+void drop_connection(context& in, connection_number number)
+{
+    if (in.all.connections.count(number) == 0)
+        return;
+    forget_connection(in, number);
+    in.out.push_back(close_connection{number});
+}
+
+void release_connection(context& in, connection_number number)
+{
+    auto& c = in.all.connections.at(number);
+    c.user = 0;
+    c.since = in.now;
+    c.phase = c.outstanding.empty() ? connection_phase::idle
+                                    : connection_phase::cleaning;
+    const auto g = in.all.groups.find(c.group);
+    const bool known =
+        g != in.all.groups.end() && g->second.members.count(c.server) > 0;
+    const bool leaving = known &&
+                         g->second.members.at(c.server).about.leaving &&
+                         g->second.primary != c.server;
+    if (c.phase == connection_phase::idle && (!known || leaving || c.spoiled))
+        drop_connection(in, number);
+}
+
+void roll_back(context& in, connection_number number)
+{
+    auto& c = in.all.connections.at(number);
+    c.outstanding.push_back(purpose::cleanup);
+    c.sent = in.now;
+    in.out.push_back(
+        send_to_member{number, {{{}, own(verb::rollback), std::nullopt}}});
+    release_connection(in, number);
+}
+
+std::vector<query> setup_statements(backend_connection& c,
+                                    const caller_session& s)
+{
+    std::vector<query> out;
+    const bool crowded = c.prepared.size() >= most_prepared;
+    if (cost_of(c, s) == switch_cost::reset || crowded)
+    {
+        out.push_back({{}, own(verb::reset), std::nullopt});
+        c.values.clear();
+        c.prepared.clear();
+    }
+    for (const auto& [name, value] : s.values)
+    {
+        const auto it = c.values.find(name);
+        if (it != c.values.end() && it->second == value)
+            continue;
+        out.push_back({{}, own(verb::set, name, value), std::nullopt});
+        c.values[name] = value;
+    }
+    const auto& what = s.current->what.what;
+    if (what.kind != verb::execute)
+        return out;
+    const auto& p = s.prepared.at(what.name);
+    if (!c.prepared.insert(p.member_name).second)
+        return out;
+    auto prepare = own(verb::prepare, p.member_name, p.shape);
+    prepare.writes = p.writes;
+    out.push_back({{}, std::move(prepare), std::nullopt});
+    return out;
+}
+
+}  // namespace godwitbarrow::pooler::detail
--- /dev/null
+++ b/libs/pooler/src/decide.cpp
@@ -0,0 +1,227 @@
+#include "godwitbarrow/pooler/decide.hpp"
+
+#include <algorithm>
+
+#include "answers.hpp"
+#include "connections.hpp"
+#include "expiry.hpp"
+#include "freshness.hpp"
+#include "placement.hpp"
+#include "sessions.hpp"
+
+namespace godwitbarrow::pooler
+{
+namespace detail
+{
+
+std::string_view to_string(failure_code it)
+{
+    switch (it)
+    {
+        case failure_code::busy:
+            return "busy";
+        case failure_code::lagging:
+            return "lagging";
+        case failure_code::read_only:
+            return "read_only";
+        case failure_code::misrouted:
+            return "misrouted";
+        case failure_code::too_many_connections:
+            return "too_many_connections";
+        case failure_code::failed:
+            return "failed";
+        case failure_code::timed_out:
+            return "timed_out";
+        case failure_code::unknown_statement:
+            return "unknown_statement";
+        case failure_code::unknown_database:
+            return "unknown_database";
+        case failure_code::malformed:
+            return "malformed";
+        case failure_code::too_large:
+            return "too_large";
+        case failure_code::aborted:
+            return "aborted";
+        case failure_code::in_doubt:
+            return "in_doubt";
+    }
+    return "failed";
+}
+
+namespace
+{
+
+void take_configuration(context& in, const configuration& to)
+{
+    in.all.in_force = to;
+    for (const auto& [id, settings] : to.groups)
+        in.all.groups[id].settings = settings;
+    decision_note n;
+    n.what = "configuration in force";
+    n.detail = "version " + std::to_string(to.version);
+    in.out.push_back(std::move(n));
+}
+
+/// Closes the idle connections of a member that is no longer the same.
+void drop_idle(context& in, const member& m)
+{
+    const std::vector<connection_number> all(m.connections.begin(),
+                                             m.connections.end());
+    for (const auto number : all)
+        if (in.all.connections.at(number).phase == connection_phase::idle)
+            drop_connection(in, number);
+}
+
+void note_member(context& in, const registration& about, std::string what)
+{
+    decision_note n;
+    n.what = std::move(what);
+    n.group = about.group;
+    n.server = about.server;
+    n.detail = "registration " + std::to_string(about.version);
+    in.out.push_back(std::move(n));
+}
+
+void remove_missing(context& in, group& g,
+                    const std::map<core::server_id, registration>& listed)
+{
+    for (auto it = g.members.begin(); it != g.members.end();)
+    {
+        const auto n = listed.find(it->first);
+        if (n != listed.end() && n->second.group == it->second.about.group)
+        {
+            ++it;
+            continue;
+        }
+        drop_idle(in, it->second);
+        note_member(in, it->second.about, "member is gone");
+        if (g.primary == it->first)
+            g.primary.reset();
+        it = g.members.erase(it);
+    }
+}
+
+void update_member(context& in, group& g, const registration& to)
+{
+    auto [it, added] = g.members.try_emplace(to.server);
+    auto& m = it->second;
+    const auto before = m.about;
+    m.about = to;
+    if (added)
+        return note_member(in, to, "member appeared");
+    if (!(before.address == to.address) || before.incarnation != to.incarnation)
+    {
+        m.failed_opens = 0;
+        m.open_after.reset();
+        drop_idle(in, m);
+        note_member(in, to, "member started again");
+    }
+    if (to.leaving && !before.leaving)
+        note_member(in, to, "member is leaving");
+}
+
+void take_members(context& in, const members_changed& what)
+{
+    std::map<core::server_id, registration> listed;
+    for (const auto& it : what.to)
+        listed.emplace(it.server, it);
+    for (auto& [id, g] : in.all.groups)
+        remove_missing(in, g, listed);
+    for (const auto& [id, it] : listed)
+    {
+        auto& g = in.all.groups[it.group];
+        update_member(in, g, it);
+        auto& m = g.members.at(id);
+        if (!it.leaving)
+            m.leaving_since.reset();
+        else if (!m.leaving_since)
+            m.leaving_since = in.now;
+        if (it.leaving && g.primary != id)
+            drop_idle(in, m);
+    }
+    for (auto& [id, g] : in.all.groups)
+    {
+        adopt_reported_primary(g);
+        dispatch(in, g);
+    }
+}
+
+struct visitor
+{
+    context& in;
+
+    void operator()(const caller_started& it) const
+    {
+        start_session(in, it);
+    }
+    void operator()(const caller_query& it) const
+    {
+        take_query(in, it);
+    }
+    void operator()(const caller_gone& it) const
+    {
+        end_session(in, it.session);
+    }
+    void operator()(const member_connected& it) const
+    {
+        take_connected(in, it);
+    }
+    void operator()(const member_answered& it) const
+    {
+        take_answer(in, it);
+    }
+    void operator()(const member_lost& it) const
+    {
+        take_lost(in, it);
+    }
+    void operator()(const configuration_changed& it) const
+    {
+        take_configuration(in, it.to);
+    }
+    void operator()(const members_changed& it) const
+    {
+        take_members(in, it);
+    }
+    void operator()(const hosts_counted& it) const
+    {
+        in.all.live_hosts = std::max<std::size_t>(it.live, 1);
+    }
+    void operator()(const time_passed&) const
+    {
+        expire(in);
+    }
+    void operator()(const shutdown_started&) const
+    {
+        begin_shutdown(in);
+    }
+};
+
+}  // namespace
+}  // namespace detail
+
+actions decide(state& it, const event& what, core::time_point now)
+{
+    detail::context in{it, now, {}};
+    std::visit(detail::visitor{in}, what);
+    return std::move(in.out);
+}
+
+bool is_ready(const state& it)
+{
+    if (it.shutdown_since || it.in_force.version == 0)
+        return false;
+    return std::any_of(it.groups.begin(), it.groups.end(),
+                       [](const auto& g) { return !g.second.members.empty(); });
+}
+
+bool needs_ticks(const state& it)
+{
+    return !it.active.empty() || it.shutdown_since.has_value();
+}
+
+std::size_t open_sessions(const state& it)
+{
+    return it.sessions.size();
+}
+
+}  // namespace godwitbarrow::pooler
--- a/libs/session/include/godwitbarrow/session/freshness.hpp
+++ b/libs/session/include/godwitbarrow/session/freshness.hpp
@@ -46,6 +46,12 @@
     const primary_history& history, const core::member_status& other,
     core::time_point requested_at, core::term_number current_term);
 
+/// The position that proves data to hold every commit that was acknowledged
+/// before `since`: the oldest sample sent no earlier, which most replicas
+/// have reached. Absent: no sample is that recent.
+std::optional<core::log_position> position_since(const primary_history& history,
+                                                 core::time_point since);
+
 /// Whether data that is fresh as of `fresh_as_of` is within `max_age` at
 /// `now`. An absent bound accepts everything, an unknown age nothing.
 bool within_age(const std::optional<core::time_point>& fresh_as_of,
--- a/libs/session/src/freshness.cpp
+++ b/libs/session/src/freshness.cpp
@@ -43,6 +43,15 @@
     return std::nullopt;
 }
 
+std::optional<core::log_position> position_since(const primary_history& history,
+                                                 core::time_point since)
+{
+    for (const auto& it : history.samples)
+        if (it.sent >= since)
+            return it.at;
+    return std::nullopt;
+}
+
 bool within_age(const std::optional<core::time_point>& fresh_as_of,
                 const std::optional<std::chrono::milliseconds>& max_age,
                 core::time_point now)
--- /dev/null
+++ b/libs/stream/include/godwitbarrow/stream/connection.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "godwitbarrow/core/endpoint.hpp"
+#include "godwitbarrow/core/error.hpp"
+
+/// TCP connections that carry lines ended by CR LF.
+///
+/// Any thread may call these functions. Handlers run on the strand of their
+/// connection and never after `closed`.
+namespace godwitbarrow::stream
+{
+
+struct limits
+{
+    /// A longer line closes the connection.
+    std::size_t line_bytes = std::size_t{1024} * 1024 + 64;
+    /// A peer that leaves more than this unread is disconnected.
+    std::size_t unsent_bytes = std::size_t{4} * 1024 * 1024;
+    /// Data that the peer does not acknowledge for this long breaks the
+    /// connection; so does an idle peer that does not answer keep-alive probes.
+    std::chrono::milliseconds silence_limit{2000};
+};
+
+struct handlers
+{
+    /// A line without its end. The view is valid during the call only.
+    std::function<void(std::string_view line)> received;
+    /// Called once, after an error or the end of the stream, or after `close`
+    /// by a handler of this connection. Not called after `close`.
+    std::function<void(const std::string& reason)> closed;
+};
+
+struct connection;
+using connection_ptr = std::shared_ptr<connection>;
+
+/// Serves a socket that was accepted.
+connection_ptr adopt(boost::asio::ip::tcp::socket socket, handlers on,
+                     const limits& within = {});
+
+/// Connects, then calls `connected` or `closed`.
+connection_ptr connect(const boost::asio::any_io_executor& executor,
+                       const core::endpoint& to,
+                       std::chrono::milliseconds timeout,
+                       std::function<void()> connected, handlers on,
+                       const limits& within = {});
+
+/// Starts to read. Call once, for an adopted connection.
+void start(const connection_ptr& it);
+
+/// Sends the bytes after those sent before.
+void send(const connection_ptr& it, std::string bytes);
+
+/// Closes the connection once everything is sent.
+void close_after_sending(const connection_ptr& it);
+
+/// Closes the connection at once. No handler is called any more.
+void close(const connection_ptr& it);
+
+}  // namespace godwitbarrow::stream
