Replace primaries that are unreachable or leaving

Adds libs/takeover: a host that cannot reach a primary confirms it by a status question, votes in a row of the store, and the one that completes half of the votes claims the next fencing token, compares the replicas and orders the promotion of the one that received most.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
+#include <map>
 #include <memory>
 #include <unordered_map>
 
@@ -12,6 +13,7 @@
 #include "godwitbarrow/gateway/admin.hpp"
 #include "godwitbarrow/pooler/decide.hpp"
 #include "godwitbarrow/stream/connection.hpp"
+#include "godwitbarrow/takeover/decide.hpp"
 #include "godwitbarrow/telemetry/metrics.hpp"
 #include "host_settings.hpp"
 
@@ -20,6 +22,8 @@
 namespace godwitbarrow::proxy::pooled
 {
 
+struct service_link;
+
 /// Sessions, members and what is still to be done for them, in order.
 struct decision_table
 {
@@ -38,6 +42,20 @@
         members;
 };
 
+/// One group in the hands of `takeover`.
+struct takeover_entry
+{
+    takeover::takeover_state state;
+    std::shared_ptr<service_link> store;
+    std::shared_ptr<service_link> promotions;
+};
+
+struct takeover_table
+{
+    core::ordered_mutex<core::lock_level::takeovers> mutex;
+    std::map<core::group_id, takeover_entry> groups;
+};
+
 struct app
 {
     explicit app(host_settings it)
@@ -53,6 +71,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     decision_table decisions;
     link_table links;
+    takeover_table takeovers;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
     std::atomic<bool> ticking{false};
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -11,6 +11,7 @@
 #include "godwitbarrow/telemetry/log.hpp"
 #include "links.hpp"
 #include "store_watch.hpp"
+#include "takeovers.hpp"
 
 namespace godwitbarrow::proxy::pooled
 {
@@ -129,6 +130,7 @@
     if (!ok(http))
         return http;
     watch_store(it);
+    watch_primaries(it);
     return listen_for_callers(it);
 }
 
--- /dev/null
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -0,0 +1,253 @@
+#include "takeovers.hpp"
+
+#include <mutex>
+
+#include "godwitbarrow/platform/promotion.hpp"
+#include "godwitbarrow/platform/rows.hpp"
+#include "godwitbarrow/takeover/row.hpp"
+#include "godwitbarrow/telemetry/log.hpp"
+#include "member_question.hpp"
+#include "store_link.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+namespace detail
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds view_interval{100};
+constexpr std::chrono::milliseconds store_limit{800};
+constexpr std::chrono::milliseconds promotion_limit{1000};
+constexpr std::chrono::milliseconds question_limit{400};
+const std::string takeover_table_name = "takeovers";
+
+using core::group_id;
+
+void advance(app& it, const group_id& group, const takeover::event& what);
+
+takeover::takeover_settings settings_of(const app& it)
+{
+    takeover::takeover_settings out;
+    out.self = it.settings.name;
+    return out;
+}
+
+std::shared_ptr<service_link> link_of(app& it, const group_id& group,
+                                      bool promotions)
+{
+    std::lock_guard lock(it.takeovers.mutex);
+    auto& entry = it.takeovers.groups[group];
+    auto& link = promotions ? entry.promotions : entry.store;
+    if (!link)
+    {
+        link = std::make_shared<service_link>();
+        link->to = promotions ? it.settings.promotions : it.settings.store;
+    }
+    return link;
+}
+
+takeover::event as_read(const group_id& group, const http::exchange_result& got)
+{
+    const auto* a = std::get_if<http::answer>(&got);
+    if (!a)
+        return takeover::store_failed{};
+    const auto parsed = platform::parse_rows(*a);
+    if (!ok(parsed))
+        return takeover::store_failed{};
+    const auto& page = std::get<platform::row_page>(parsed);
+    takeover::row_read out;
+    out.store_time = page.store_time;
+    for (const auto& row : page.rows)
+    {
+        if (row.key != group.value)
+            continue;
+        out.version = row.version;
+        const auto decoded = takeover::decode(row.value);
+        if (const auto* e = std::get_if<core::error>(&decoded))
+            telemetry::log_event(telemetry::log_level::error,
+                                 "takeover row not used",
+                                 {{"group", group}, {"reason", e->message}});
+        else
+            out.what = std::get<takeover::row>(decoded);
+    }
+    return out;
+}
+
+takeover::event as_written(const http::exchange_result& got)
+{
+    const auto* a = std::get_if<http::answer>(&got);
+    if (!a)
+        return takeover::row_written{takeover::write_result::unknown, 0};
+    const auto parsed = platform::parse_written(*a);
+    if (const auto* e = std::get_if<core::error>(&parsed))
+        return takeover::row_written{e->kind == core::error_kind::conflict
+                                         ? takeover::write_result::conflict
+                                         : takeover::write_result::unknown,
+                                     0};
+    return takeover::row_written{takeover::write_result::done,
+                                 std::get<std::uint64_t>(parsed)};
+}
+
+takeover::event as_ordered(const http::exchange_result& got)
+{
+    switch (platform::parse_promoted(got))
+    {
+        case platform::promotion_result::accepted:
+            return takeover::promotion_answered{
+                takeover::order_result::accepted};
+        case platform::promotion_result::refused:
+            return takeover::promotion_answered{
+                takeover::order_result::refused};
+        default:
+            return takeover::promotion_answered{
+                takeover::order_result::unknown};
+    }
+}
+
+std::optional<pooler::registration> find_registration(
+    app& it, const group_id& group, const core::server_id& server)
+{
+    std::lock_guard lock(it.decisions.mutex);
+    const auto& groups = it.decisions.state.groups;
+    const auto g = groups.find(group);
+    if (g == groups.end())
+        return std::nullopt;
+    const auto m = g->second.members.find(server);
+    if (m == g->second.members.end())
+        return std::nullopt;
+    return m->second.about;
+}
+
+struct performer
+{
+    app& in;
+    const group_id& group;
+
+    void operator()(const takeover::read_row&) const
+    {
+        call_service(in, link_of(in, group, false),
+                     platform::read_row(takeover_table_name, group.value),
+                     store_limit,
+                     [&it = in, g = group](const http::exchange_result& got)
+                     { advance(it, g, as_read(g, got)); });
+    }
+
+    void operator()(const takeover::write_row& a) const
+    {
+        platform::row row;
+        row.table = takeover_table_name;
+        row.key = group.value;
+        row.value = takeover::encode(a.what);
+        call_service(in, link_of(in, group, false),
+                     platform::write_row(row, a.expected), store_limit,
+                     [&it = in, g = group](const http::exchange_result& got)
+                     { advance(it, g, as_written(got)); });
+    }
+
+    void operator()(const takeover::ask_member& a) const
+    {
+        const auto about = find_registration(in, group, a.server);
+        if (!about)
+            return advance(in, group,
+                           takeover::member_answered{a.server, std::nullopt});
+        ask_member(in, *about, a.pause_at, question_limit,
+                   [&it = in, g = group, server = a.server](
+                       std::optional<takeover::member_report> r) {
+                       advance(it, g, takeover::member_answered{server, r});
+                   });
+    }
+
+    void operator()(const takeover::order_promotion& a) const
+    {
+        call_service(
+            in, link_of(in, group, true),
+            platform::promote({group, a.server, in.settings.name, a.token}),
+            promotion_limit,
+            [&it = in, g = group](const http::exchange_result& got)
+            { advance(it, g, as_ordered(got)); });
+    }
+
+    void operator()(const takeover::primary_known& a) const
+    {
+        handle(in, pooler::primary_confirmed{group, a.server, a.promoted});
+    }
+
+    void operator()(const takeover::takeover_note& a) const
+    {
+        telemetry::count_failover_step(*in.metrics, a.what);
+        telemetry::log_event(
+            telemetry::log_level::info, a.what,
+            {{"group", group}, {"server", a.server}, {"detail", a.detail}});
+    }
+};
+
+void advance(app& it, const group_id& group, const takeover::event& what)
+{
+    takeover::actions out;
+    {
+        std::lock_guard lock(it.takeovers.mutex);
+        out =
+            takeover::decide(it.takeovers.groups[group].state, settings_of(it),
+                             what, core::runtime_clock::now());
+    }
+    for (const auto& a : out)
+        std::visit(performer{it, group}, a);
+}
+
+/// What the pooler sees of each group.
+std::map<group_id, takeover::group_view> view_groups(app& it)
+{
+    std::map<group_id, takeover::group_view> out;
+    std::lock_guard lock(it.decisions.mutex);
+    const auto& all = it.decisions.state;
+    for (const auto& [id, g] : all.groups)
+    {
+        const auto seen =
+            pooler::view_primary(all, id, core::runtime_clock::now());
+        takeover::group_view view;
+        view.primary = seen.server;
+        view.unreachable = seen.unreachable;
+        view.leaving = seen.leaving;
+        view.live_hosts = all.live_hosts;
+        view.synchronous_replicas = g.settings.synchronous_replicas;
+        for (const auto& [server, m] : g.members)
+        {
+            if (m.about.leaving)
+                view.leaving_members.push_back(server);
+            else if (server != seen.server)
+                view.candidates.push_back(server);
+        }
+        out.emplace(id, std::move(view));
+    }
+    return out;
+}
+
+void look_at_groups(app& it)
+{
+    for (auto& [group, view] : view_groups(it))
+        advance(it, group, takeover::group_seen{std::move(view)});
+}
+
+void look_again(app& it, const std::shared_ptr<core::timer>& t)
+{
+    t->expires_after(view_interval);
+    t->async_wait(
+        [&it, t](boost::system::error_code ec)
+        {
+            if (ec)
+                return;
+            look_at_groups(it);
+            look_again(it, t);
+        });
+}
+
+}  // namespace
+}  // namespace detail
+
+void watch_primaries(app& it)
+{
+    detail::look_again(it, std::make_shared<core::timer>(it.io));
+}
+
+}  // namespace godwitbarrow::proxy::pooled
--- /dev/null
+++ b/apps/proxy/src/pooled/takeovers.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "app.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+
+/// Watches the primaries of all groups and replaces those that are unreachable
+/// or leaving, until the process ends.
+void watch_primaries(app& it);
+
+}  // namespace godwitbarrow::proxy::pooled
--- a/libs/core/include/godwitbarrow/core/lock_order.hpp
+++ b/libs/core/include/godwitbarrow/core/lock_order.hpp
@@ -12,6 +12,7 @@
     settings = 10,
     hosts = 20,
     group_index = 30,
+    takeovers = 35,
     group_state = 40,
     transactions = 50,
     connections = 60,
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -66,6 +66,14 @@
     std::vector<registration> to;
 };
 
+/// A member answered a status question as the primary, or was promoted.
+struct primary_confirmed
+{
+    core::group_id group;
+    core::server_id server;
+    bool promoted = false;
+};
+
 /// Hosts of the proxy that share the connections of the members.
 struct hosts_counted
 {
@@ -84,7 +92,8 @@
 using event =
     std::variant<caller_started, caller_query, caller_gone, member_connected,
                  member_answered, member_lost, configuration_changed,
-                 members_changed, hosts_counted, time_passed, shutdown_started>;
+                 members_changed, primary_confirmed, hosts_counted, time_passed,
+                 shutdown_started>;
 
 struct accept_caller
 {
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -26,6 +26,11 @@
     /// A member gets this many statements at a time for each of its slots,
     /// over all hosts; the rest waits here, in order of rank.
     std::size_t statements_per_slot = 4;
+    /// A primary that failed and has not answered for this long since is
+    /// unreachable.
+    std::chrono::milliseconds unreachable_limit{700};
+    /// A group without a primary is served by searching for this long.
+    std::chrono::milliseconds search_limit{1200};
     /// Attempts to open connections to one member at a time.
     std::size_t opening_at_once = 2;
     std::chrono::milliseconds open_timeout{1500};
@@ -197,6 +202,8 @@
     /// The member that last proved to be the primary, else the one that
     /// registered as such last.
     std::optional<core::server_id> primary;
+    /// Since when no member is believed to be the primary.
+    std::optional<core::time_point> without_primary;
     /// Positions of the primary, to prove the age of replicas.
     session::primary_history history;
     /// Statements for the primary only, and those that a replica may run.
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -141,7 +141,7 @@
     }
     for (auto& [id, g] : in.all.groups)
     {
-        adopt_reported_primary(g);
+        adopt_reported_primary(g, in.now);
         dispatch(in, g);
     }
 }
@@ -182,6 +182,14 @@
     {
         take_members(in, it);
     }
+    void operator()(const primary_confirmed& it) const
+    {
+        const auto g = in.all.groups.find(it.group);
+        if (g == in.all.groups.end())
+            return;
+        confirm_primary(g->second, it.server, it.promoted, in.now);
+        dispatch(in, g->second);
+    }
     void operator()(const hosts_counted& it) const
     {
         in.all.live_hosts = std::max<std::size_t>(it.live, 1);
@@ -206,6 +214,32 @@
     return std::move(in.out);
 }
 
+primary_view view_primary(const state& it, const core::group_id& group,
+                          core::time_point now)
+{
+    primary_view out;
+    const auto g = it.groups.find(group);
+    if (g == it.groups.end() || g->second.members.empty())
+        return out;
+    const auto m = g->second.primary
+                       ? g->second.members.find(*g->second.primary)
+                       : g->second.members.end();
+    if (m == g->second.members.end())
+    {
+        const auto since = g->second.without_primary;
+        out.unreachable = since && now - *since >= it.settings.search_limit;
+        return out;
+    }
+    const auto& p = m->second;
+    out.server = p.about.server;
+    out.leaving = p.about.leaving;
+    const bool failed = p.failed && (!p.answered || *p.failed > *p.answered);
+    out.unreachable =
+        failed &&
+        (!p.answered || now - *p.answered >= it.settings.unreachable_limit);
+    return out;
+}
+
 bool is_ready(const state& it)
 {
     if (it.shutdown_since || it.in_force.version == 0)
--- a/libs/pooler/src/freshness.cpp
+++ b/libs/pooler/src/freshness.cpp
@@ -9,13 +9,34 @@
 /// covers more than the greatest age that routes allow, about 2.5 s.
 constexpr std::chrono::milliseconds sample_interval{60};
 
+namespace
+{
+
+void set_primary(group& it, const core::server_id& server)
+{
+    it.primary = server;
+    it.without_primary.reset();
+    for (auto& [id, m] : it.members)
+    {
+        if (id == server)
+        {
+            m.refuted.reset();
+            m.refuted_version = 0;
+            continue;
+        }
+        // What the others registered before is outdated.
+        m.refuted_version = std::max(m.refuted_version, m.about.version);
+    }
+}
+
+}  // namespace
+
 void note_primary(group& it, const core::server_id& server,
                   core::time_point sent,
                   const std::optional<core::log_position>& at)
 {
-    it.primary = server;
-    if (const auto m = it.members.find(server); m != it.members.end())
-        m->second.refuted.reset();
+    if (it.primary != server)
+        set_primary(it, server);
     if (!at)
         return;
     const auto& all = it.history.samples;
@@ -29,44 +50,72 @@
 {
     m.refuted = now;
     m.refuted_version = m.about.version;
-    if (it.primary == m.about.server)
-        it.primary.reset();
+    if (it.primary != m.about.server)
+        return;
+    it.primary.reset();
+    it.without_primary = now;
 }
 
-void adopt_reported_primary(group& it)
+void adopt_reported_primary(group& it, core::time_point now)
 {
     const member* best = nullptr;
     for (const auto& [id, m] : it.members)
     {
         if (m.about.role != core::member_role::primary)
             continue;
-        if (m.refuted && m.about.version <= m.refuted_version)
+        if (m.about.version <= m.refuted_version)
             continue;
         if (!best || m.about.version > best->about.version)
             best = &m;
     }
     if (best)
         it.primary = best->about.server;
+    if (it.primary)
+        it.without_primary.reset();
+    else if (!it.without_primary)
+        it.without_primary = now;
 }
 
+void confirm_primary(group& it, const core::server_id& server, bool promoted,
+                     core::time_point now)
+{
+    const auto m = it.members.find(server);
+    if (m == it.members.end())
+        return;
+    m->second.answered = now;
+    m->second.failed.reset();
+    if (promoted || !it.primary)
+        set_primary(it, server);
+}
+
+namespace
+{
+
+bool may_ask(const member& m, const pooler_settings& settings,
+             core::time_point now)
+{
+    if (m.leaving_since &&
+        now - *m.leaving_since >= settings.leaving_primary_limit)
+        return false;
+    if (m.failed && now - *m.failed < settings.failed_back_off)
+        return false;
+    return !m.refuted || now - *m.refuted >= settings.refuted_back_off;
+}
+
+}  // namespace
+
 std::optional<core::server_id> primary_candidate(
     const group& it, const pooler_settings& settings, core::time_point now)
 {
-    const auto usable = [&](const member& m)
-    {
-        return !m.leaving_since ||
-               now - *m.leaving_since < settings.leaving_primary_limit;
-    };
     if (it.primary)
         if (const auto m = it.members.find(*it.primary);
-            m != it.members.end() && usable(m->second))
+            m != it.members.end() && may_ask(m->second, settings, now))
             return it.primary;
+    // The member that denied longest ago may have been promoted since.
     const member* best = nullptr;
     for (const auto& [id, m] : it.members)
     {
-        if (!usable(m) || it.primary == id)
-            continue;
-        if (m.refuted && now - *m.refuted < settings.refuted_back_off)
+        if (!may_ask(m, settings, now))
             continue;
         if (!best || (best->refuted && !m.refuted) ||
             (best->refuted && m.refuted && *m.refuted < *best->refuted))
--- a/libs/pooler/src/freshness.hpp
+++ b/libs/pooler/src/freshness.hpp
@@ -14,7 +14,11 @@
 void refute_primary(group& it, member& m, core::time_point now);
 
 /// Takes over what the members say of themselves.
-void adopt_reported_primary(group& it);
+void adopt_reported_primary(group& it, core::time_point now);
+
+/// Takes over what a takeover found out.
+void confirm_primary(group& it, const core::server_id& server, bool promoted,
+                     core::time_point now);
 
 /// The member to ask for the newest data; absent if all denied it just now.
 std::optional<core::server_id> primary_candidate(
