--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -89,9 +89,11 @@
     return {*primary};
 }
 
-/// A connection that the statement can have now. Opens one if there is none.
+/// A connection that the statement can have now. If the best member has none
+/// that is idle, one is opened there for later statements.
 std::optional<choice> choose(context& in, group& g, const caller_session& s)
 {
+    bool opened = false;
     for (const auto& id : candidates(in, g, s))
     {
         auto& m = g.members.at(id);
@@ -102,7 +104,9 @@
         const auto number = pick_idle(in.all, m, s);
         if (number != 0)
             return choice{id, number};
-        open_if_allowed(in, g, m);
+        if (!opened)
+            open_if_allowed(in, g, m);
+        opened = true;
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/libs/pooler/test/failures_test.cpp
@@ -0,0 +1,172 @@
+#include "fixture.hpp"
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::pooler;
+using godwitbarrow::pooler::test::world;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(when_the_connection_to_a_member_breaks)
+
+// Guards against a write that runs twice.
+BOOST_FIXTURE_TEST_CASE(a_write_is_in_doubt_and_not_sent_again, world)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    post(member_lost{sent().connection, std::nullopt, "reset"});
+    BOOST_TEST(outcome(1) == "in doubt");
+    BOOST_TEST(!first_of<send_to_member>());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_write_that_was_not_sent_is_tried_again, world)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    post(member_lost{first_of<open_connection>()->connection, std::nullopt,
+                     "refused"});
+    BOOST_TEST(!reply(1));
+    wait(500ms);
+    BOOST_TEST(!all_of<open_connection>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_read_is_sent_again_elsewhere, world)
+{
+    start(100, "newest");
+    read_newest(100, {1, 5});
+    warm_replicas();
+    start(1, "bounded");
+    query(1, verb::read, "READ 1");
+    post(member_lost{sent().connection, std::nullopt, "reset"});
+    BOOST_TEST(!reply(1));
+    BOOST_TEST(server_of(sent().connection) == "far");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_commit_of_writes_is_in_doubt, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    query(1, verb::commit);
+    post(member_lost{c, std::nullopt, "reset"});
+    BOOST_TEST(outcome(1) == "in doubt");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_commit_of_reads_has_kept_nothing, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::read, "READ 1");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    query(1, verb::commit);
+    post(member_lost{c, std::nullopt, "reset"});
+    BOOST_TEST(outcome(1) == "aborted");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_open_transaction_is_aborted, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    post(member_lost{c, std::nullopt, "reset"});
+    BOOST_TEST(outcome(1) == "aborted");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_member_is_silent)
+
+BOOST_FIXTURE_TEST_CASE(a_transaction_is_begun_elsewhere_soon, world)
+{
+    start(1, "newest");
+    query(1, verb::read, "READ 1");
+    const auto c = sent().connection;
+    wait(325ms);
+    BOOST_TEST(!all.connections.count(c));
+    BOOST_TEST(!reply(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_write_is_given_up_at_the_timeout_of_its_route, world)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    wait(775ms);
+    BOOST_TEST(!reply(1));
+    wait(50ms);
+    BOOST_TEST(outcome(1) == "in doubt");
+    BOOST_TEST(!all.connections.count(c));
+}
+
+BOOST_FIXTURE_TEST_CASE(the_primary_counts_as_unreachable, world)
+{
+    start(100, "newest");
+    read_newest(100, {1, 5});
+    BOOST_TEST(!view_primary(all, group, now).unreachable);
+    start(1, "newest");
+    query(1, verb::read, "READ 1");
+    wait(800ms);
+    BOOST_TEST(view_primary(all, group, now).unreachable);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_primary_that_answers_others_does_not, world)
+{
+    start(100, "newest");
+    read_newest(100, {1, 5});
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    start(2, "newest");
+    wait(600ms);
+    query(2, verb::write, "WRITE 2 x");
+    const auto other = sent().connection;
+    BOOST_TEST(other != c);
+    wait(250ms);
+    succeed(other, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(!view_primary(all, group, now).unreachable);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_member_refuses)
+
+BOOST_FIXTURE_TEST_CASE(a_busy_primary_is_asked_again_after_a_pause, world)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    fail(c, failure_code::busy);
+    BOOST_TEST(!reply(1));
+    BOOST_TEST(!first_of<send_to_member>());
+    wait(50ms);
+    BOOST_TEST(sent().connection == c);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_busy_member_keeps_an_open_transaction, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    fail(c, failure_code::busy, session_state::in_transaction);
+    BOOST_TEST(!reply(1));
+    wait(25ms);
+    BOOST_TEST((sent().statements.back().what.kind == verb::write));
+}
+
+// Guards against an answer without proof that a member ran the statement.
+BOOST_FIXTURE_TEST_CASE(an_unsigned_answer_is_no_success, world)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    succeed(sent().connection, {1, 6});
+    BOOST_TEST(outcome(1) == "other");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/pooler/test/fixture.hpp
@@ -0,0 +1,252 @@
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "godwitbarrow/pooler/decide.hpp"
+
+/// A group of one primary and two replicas, seen by one host.
+namespace godwitbarrow::pooler::test
+{
+
+using namespace std::chrono_literals;
+
+struct world
+{
+    state all;
+    core::time_point now{1000s};
+    actions last;
+    std::vector<registration> members;
+    std::uint64_t registered = 0;
+    core::group_id group{"quotes"};
+
+    world()
+    {
+        all.settings.data_centre = {"north"};
+        configure();
+        add("primary", "north", core::member_role::primary);
+        add("near", "north", core::member_role::replica);
+        add("far", "south", core::member_role::replica);
+        publish();
+    }
+
+    void configure(std::uint64_t version = 1, std::size_t connections = 8)
+    {
+        configuration c;
+        c.version = version;
+        c.groups[group].max_connections = connections;
+        c.transaction_idle = 3s;
+        route r;
+        r.group = group;
+        r.statement_timeout = 800ms;
+        r.objective = 400ms;
+        r.importance = core::rank::urgent;
+        c.routes["newest"] = r;
+        r.reads = read_policy::bounded_age;
+        r.max_age = 1500ms;
+        r.importance = core::rank::interactive;
+        c.routes["bounded"] = r;
+        r.reads = read_policy::own_writes;
+        r.max_age = 2500ms;
+        r.importance = core::rank::deferred;
+        c.routes["own"] = r;
+        post(configuration_changed{c});
+    }
+
+    void add(const std::string& id, const std::string& data_centre,
+             core::member_role role)
+    {
+        registration r;
+        r.server = {id};
+        r.group = group;
+        r.address = {"10.0.0.1", 5000};
+        r.data_centre = {data_centre};
+        r.slots = 2;
+        r.role = role;
+        r.version = ++registered;
+        members.push_back(r);
+    }
+
+    registration& registered_as(const std::string& id)
+    {
+        for (auto& it : members)
+            if (it.server.value == id)
+                return it;
+        BOOST_FAIL("no member " + id);
+        return members.front();
+    }
+
+    /// The member changes its registration.
+    void report(const std::string& id, core::member_role role,
+                bool leaving = false)
+    {
+        auto& r = registered_as(id);
+        r.role = role;
+        r.leaving = leaving;
+        r.version = ++registered;
+        publish();
+    }
+
+    void publish()
+    {
+        post(members_changed{members});
+    }
+
+    void post(const event& what)
+    {
+        last = decide(all, what, now);
+    }
+
+    /// Lets time pass in steps of the tick.
+    void wait(core::duration time)
+    {
+        actions seen;
+        for (const auto end = now + time; now < end;)
+        {
+            now += 25ms;
+            post(time_passed{});
+            seen.insert(seen.end(), last.begin(), last.end());
+        }
+        last = std::move(seen);
+    }
+
+    template <class Action>
+    std::vector<Action> all_of() const
+    {
+        std::vector<Action> out;
+        for (const auto& a : last)
+            if (const auto* it = std::get_if<Action>(&a))
+                out.push_back(*it);
+        return out;
+    }
+
+    template <class Action>
+    std::optional<Action> first_of() const
+    {
+        const auto found = all_of<Action>();
+        if (found.empty())
+            return std::nullopt;
+        return found.front();
+    }
+
+    void start(session_number session, const std::string& database)
+    {
+        post(caller_started{session, database});
+        BOOST_REQUIRE(first_of<accept_caller>());
+    }
+
+    void query(session_number session, verb kind, std::string text = {},
+               std::string name = {}, bool writes = false)
+    {
+        pooler::query q;
+        q.id = {"q" + std::to_string(session)};
+        q.what = {kind, std::move(name), writes, std::move(text)};
+        post(caller_query{session, std::move(q)});
+    }
+
+    /// What the caller was told, if the last event ended its statement.
+    std::optional<answer> reply(session_number session) const
+    {
+        for (const auto& it : all_of<reply_to_caller>())
+            if (it.session == session)
+                return it.what;
+        return std::nullopt;
+    }
+
+    std::string outcome(session_number session) const
+    {
+        const auto a = reply(session);
+        if (!a)
+            return "none";
+        const auto* f = failure_of(*a);
+        if (!f)
+            return "success";
+        switch (f->code)
+        {
+            case failure_code::busy:
+                return "busy";
+            case failure_code::aborted:
+                return "aborted";
+            case failure_code::in_doubt:
+                return "in doubt";
+            case failure_code::timed_out:
+                return "timed out";
+            case failure_code::malformed:
+                return "malformed";
+            case failure_code::read_only:
+                return "read only";
+            default:
+                return "other";
+        }
+    }
+
+    /// Accepts the connection that the last event opened.
+    send_to_member connect()
+    {
+        const auto opened = first_of<open_connection>();
+        BOOST_REQUIRE(opened);
+        post(member_connected{opened->connection, std::nullopt});
+        const auto sent = first_of<send_to_member>();
+        BOOST_REQUIRE(sent);
+        return *sent;
+    }
+
+    /// Gives the host an idle connection to each replica.
+    void warm_replicas()
+    {
+        for (const auto* id : {"near", "far"})
+        {
+            auto& m = all.groups.at(group).members.at({id});
+            const auto number = ++all.last_connection;
+            backend_connection c;
+            c.group = group;
+            c.server = {id};
+            all.connections.emplace(number, c);
+            m.connections.insert(number);
+            post(member_connected{number, std::nullopt});
+        }
+    }
+
+    /// What was sent, over a connection that is opened if needed.
+    send_to_member sent()
+    {
+        if (const auto it = first_of<send_to_member>())
+            return *it;
+        return connect();
+    }
+
+    std::string server_of(connection_number connection) const
+    {
+        return all.connections.at(connection).server.value;
+    }
+
+    void succeed(connection_number connection, core::log_position at,
+                 session_state left = session_state::idle,
+                 const std::string& signature = {})
+    {
+        post(member_answered{connection, {{}, success{signature}, left, at}});
+    }
+
+    void fail(connection_number connection, failure_code code,
+              session_state left = session_state::idle)
+    {
+        post(member_answered{connection,
+                             {{}, failure{code, "member"}, left, {}}});
+    }
+
+    /// Runs a read of the newest data, which teaches the host the position of
+    /// the primary.
+    void read_newest(session_number session, core::log_position at)
+    {
+        query(session, verb::read, "READ 1");
+        const auto c = sent().connection;
+        succeed(c, at, session_state::in_transaction);
+        succeed(c, at, session_state::in_transaction, "signed");
+        BOOST_REQUIRE_EQUAL(outcome(session), "success");
+        succeed(c, at);
+    }
+};
+
+}  // namespace godwitbarrow::pooler::test
--- /dev/null
+++ b/libs/pooler/test/placement_test.cpp
@@ -0,0 +1,194 @@
+#include "fixture.hpp"
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::pooler;
+using godwitbarrow::pooler::test::world;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Opens every connection to the primary that the limits allow and keeps each
+/// busy with a write.
+struct busy_world : world
+{
+    std::vector<connection_number> running;
+    session_number next = 1000;
+
+    busy_world()
+    {
+        post(hosts_counted{1});
+        for (int n = 0; n < 8; ++n)
+            occupy();
+    }
+
+    void occupy()
+    {
+        start(++next, "newest");
+        query(next, verb::write, "WRITE 1 x");
+        while (const auto opened = first_of<open_connection>())
+            post(member_connected{opened->connection, std::nullopt});
+        if (const auto s = first_of<send_to_member>())
+            running.push_back(s->connection);
+    }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(connections_of_a_member)
+
+BOOST_FIXTURE_TEST_CASE(are_shared_by_the_hosts, world)
+{
+    post(hosts_counted{4});
+    for (session_number n = 1; n <= 6; ++n)
+    {
+        start(n, "newest");
+        query(n, verb::write, "WRITE 1 x");
+        while (const auto opened = first_of<open_connection>())
+            post(member_connected{opened->connection, std::nullopt});
+    }
+    const auto& m = all.groups.at(group).members.at({"primary"});
+    BOOST_TEST(m.connections.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(are_opened_a_few_at_a_time, world)
+{
+    for (session_number n = 1; n <= 6; ++n)
+    {
+        start(n, "newest");
+        query(n, verb::write, "WRITE 1 x");
+    }
+    const auto& m = all.groups.at(group).members.at({"primary"});
+    BOOST_TEST(m.connections.size() == all.settings.opening_at_once);
+}
+
+BOOST_FIXTURE_TEST_CASE(are_not_opened_again_at_once_after_a_refusal, world)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = first_of<open_connection>()->connection;
+    post(member_lost{c, failure{failure_code::too_many_connections, "full"},
+                     "refused"});
+    BOOST_TEST(all_of<open_connection>().empty());
+    wait(325ms);
+    BOOST_TEST(all_of<open_connection>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(while_the_primary_is_full)
+
+// Replays a burst of deferred work on top of urgent work at a full primary.
+BOOST_FIXTURE_TEST_CASE(urgent_work_goes_first, busy_world)
+{
+    start(1, "own");
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(!first_of<send_to_member>());
+    start(2, "newest");
+    query(2, verb::write, "WRITE 2 x");
+    BOOST_TEST(!first_of<send_to_member>());
+    succeed(running.front(), {1, 6}, session_state::idle, "s");
+    const auto s = sent();
+    BOOST_TEST(s.statements.back().id.value == "q2");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_transaction_that_is_open_goes_before_new_work, world)
+{
+    start(1, "own");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    for (session_number n = 2; n < 12; ++n)
+    {
+        start(n, "newest");
+        query(n, verb::write, "WRITE 1 x");
+        while (const auto opened = first_of<open_connection>())
+            post(member_connected{opened->connection, std::nullopt});
+    }
+    query(1, verb::write, "WRITE 2 y");
+    BOOST_TEST(sent().connection == c);
+}
+
+// Guards against work that waits although it cannot be served in time.
+BOOST_FIXTURE_TEST_CASE(work_beyond_the_objective_is_refused_at_once,
+                        busy_world)
+{
+    // Each statement takes 200 ms, so that 8 slots serve 16 in 400 ms.
+    now += 200ms;
+    for (const auto c : std::vector<connection_number>(running))
+        succeed(c, {1, 6}, session_state::idle, "s");
+    running.clear();
+    for (int n = 0; n < 8; ++n)
+        occupy();
+    unsigned refused = 0;
+    for (session_number n = 1; n <= 40; ++n)
+    {
+        start(n, "newest");
+        query(n, verb::write, "WRITE 1 x");
+        if (reply(n))
+        {
+            BOOST_TEST(outcome(n) == "busy");
+            ++refused;
+        }
+    }
+    BOOST_TEST(refused >= 20U);
+    BOOST_TEST(refused <= 30U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_that_leaves_gives_up_its_place, busy_world)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    post(caller_gone{1});
+    succeed(running.front(), {1, 6}, session_state::idle, "s");
+    BOOST_TEST(!first_of<send_to_member>());
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_of_bounded_age_go_on_at_the_replicas, world)
+{
+    start(100, "newest");
+    read_newest(100, {1, 5});
+    warm_replicas();
+    for (session_number n = 1; n <= 8; ++n)
+    {
+        start(n, "newest");
+        query(n, verb::write, "WRITE 1 x");
+        while (const auto opened = first_of<open_connection>())
+            post(member_connected{opened->connection, std::nullopt});
+    }
+    start(20, "bounded");
+    query(20, verb::read, "READ 1");
+    BOOST_TEST(server_of(sent().connection) == "near");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_member_that_is_leaving)
+
+BOOST_FIXTURE_TEST_CASE(gets_no_new_reads, world)
+{
+    start(100, "newest");
+    read_newest(100, {1, 5});
+    warm_replicas();
+    report("near", core::member_role::replica, true);
+    start(1, "bounded");
+    query(1, verb::read, "READ 1");
+    BOOST_TEST(server_of(sent().connection) == "far");
+}
+
+BOOST_FIXTURE_TEST_CASE(serves_as_the_primary_until_its_time_is_up, world)
+{
+    report("primary", core::member_role::primary, true);
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(server_of(sent().connection) == "primary");
+    now += all.settings.leaving_primary_limit;
+    start(2, "newest");
+    query(2, verb::write, "WRITE 2 x");
+    if (const auto opened = first_of<open_connection>())
+        BOOST_TEST(opened->server.value != "primary");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libs/pooler/test/sessions_test.cpp
@@ -0,0 +1,251 @@
+#include "fixture.hpp"
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::pooler;
+using godwitbarrow::pooler::test::world;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(a_caller_that_connects)
+
+BOOST_FIXTURE_TEST_CASE(is_refused_if_no_route_has_its_database, world)
+{
+    post(caller_started{1, "elsewhere"});
+    BOOST_REQUIRE(first_of<refuse_caller>());
+    BOOST_TEST((first_of<refuse_caller>()->why.code ==
+                failure_code::unknown_database));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_served_without_a_member_until_it_needs_one, world)
+{
+    start(1, "newest");
+    query(1, verb::set, "utf8", "encoding");
+    BOOST_TEST(outcome(1) == "success");
+    query(1, verb::prepare, "q2c", "s1", true);
+    BOOST_TEST(outcome(1) == "success");
+    BOOST_TEST(all_of<open_connection>().empty());
+}
+
+BOOST_AUTO_TEST_SUITE(and_begins_a_transaction)
+
+// Guards against a member connection that an empty transaction holds.
+BOOST_FIXTURE_TEST_CASE(holds_no_connection_before_its_first_statement, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    BOOST_TEST((reply(1)->state == session_state::in_transaction));
+    BOOST_TEST(all_of<open_connection>().empty());
+    query(1, verb::rollback);
+    BOOST_TEST((reply(1)->state == session_state::idle));
+}
+
+BOOST_FIXTURE_TEST_CASE(keeps_one_connection_until_it_commits, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto begin = sent();
+    BOOST_TEST((begin.statements.back().what.kind == verb::begin));
+    succeed(begin.connection, {1, 5}, session_state::in_transaction);
+    BOOST_TEST((sent().statements.back().what.kind == verb::write));
+    succeed(begin.connection, {1, 5}, session_state::in_transaction, "s");
+    BOOST_TEST(outcome(1) == "success");
+    query(1, verb::commit);
+    BOOST_TEST(sent().connection == begin.connection);
+    succeed(begin.connection, {1, 6}, session_state::idle, "s");
+    BOOST_TEST((reply(1)->state == session_state::idle));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_not_mixed_with_another_session, world)
+{
+    start(1, "newest");
+    start(2, "newest");
+    query(1, verb::begin);
+    query(1, verb::read, "READ 1");
+    const auto first = sent().connection;
+    succeed(first, {1, 5}, session_state::in_transaction);
+    succeed(first, {1, 5}, session_state::in_transaction, "s");
+    query(2, verb::read, "READ 2");
+    BOOST_TEST(sent().connection != first);
+}
+
+BOOST_FIXTURE_TEST_CASE(learns_of_a_lost_connection_with_its_next_statement,
+                        world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    post(member_lost{c, std::nullopt, "reset"});
+    BOOST_TEST(!reply(1));
+    query(1, verb::write, "WRITE 2 y");
+    BOOST_TEST(outcome(1) == "aborted");
+    query(1, verb::read, "READ 1");
+    BOOST_TEST(outcome(1) == "malformed");
+    query(1, verb::rollback);
+    BOOST_TEST((reply(1)->state == session_state::idle));
+}
+
+// Guards against a success that no member has signed.
+BOOST_FIXTURE_TEST_CASE(is_not_told_of_a_commit_after_a_failure, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    fail(c, failure_code::failed, session_state::failed_transaction);
+    BOOST_TEST(outcome(1) == "aborted");
+    query(1, verb::commit);
+    BOOST_TEST(outcome(1) == "aborted");
+    BOOST_TEST((reply(1)->state == session_state::idle));
+}
+
+BOOST_FIXTURE_TEST_CASE(gives_its_connection_back_when_it_leaves, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    post(caller_gone{1});
+    BOOST_TEST((sent().statements.front().what.kind == verb::rollback));
+    succeed(c, {1, 5});
+    BOOST_TEST((all.connections.at(c).phase == connection_phase::idle));
+}
+
+BOOST_FIXTURE_TEST_CASE(is_ended_if_it_stays_idle_for_too_long, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::read, "READ 1");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    wait(3100ms);
+    BOOST_TEST((sent().statements.front().what.kind == verb::rollback));
+    query(1, verb::commit);
+    BOOST_TEST(outcome(1) == "aborted");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_values_and_prepared_statements)
+
+// Guards against a statement that runs with the values of another session.
+BOOST_FIXTURE_TEST_CASE(finds_them_on_each_connection, world)
+{
+    start(1, "newest");
+    query(1, verb::set, "utf8", "encoding");
+    query(1, verb::prepare, "q2c", "s1", true);
+    query(1, verb::execute, "1 x", "s1");
+    const auto first = sent();
+    BOOST_REQUIRE_EQUAL(first.statements.size(), 3U);
+    BOOST_TEST((first.statements[0].what.kind == verb::set));
+    BOOST_TEST((first.statements[1].what.kind == verb::prepare));
+    BOOST_TEST((first.statements[2].what.kind == verb::execute));
+    BOOST_TEST(first.statements[1].what.name == first.statements[2].what.name);
+    succeed(first.connection, {1, 5});
+    succeed(first.connection, {1, 5});
+    succeed(first.connection, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(outcome(1) == "success");
+
+    start(2, "newest");
+    query(2, verb::write, "WRITE 1 x");
+    const auto second = sent();
+    BOOST_TEST(second.connection == first.connection);
+    BOOST_TEST((second.statements.front().what.kind == verb::reset));
+}
+
+BOOST_FIXTURE_TEST_CASE(does_not_meet_the_names_of_other_callers, world)
+{
+    start(1, "newest");
+    start(2, "newest");
+    query(1, verb::prepare, "shape-a", "s1", true);
+    query(2, verb::prepare, "shape-b", "s1", true);
+    query(1, verb::execute, "1 x", "s1");
+    const auto first = sent();
+    succeed(first.connection, {1, 5});
+    succeed(first.connection, {1, 6}, session_state::idle, "s");
+    query(2, verb::execute, "1 x", "s1");
+    const auto second = sent();
+    BOOST_TEST(second.statements.back().what.name !=
+               first.statements.back().what.name);
+}
+
+BOOST_FIXTURE_TEST_CASE(prepares_again_what_the_member_has_forgotten, world)
+{
+    start(1, "newest");
+    query(1, verb::prepare, "q2c", "s1", true);
+    query(1, verb::execute, "1 x", "s1");
+    const auto c = sent().connection;
+    succeed(c, {1, 5});
+    fail(c, failure_code::unknown_statement);
+    BOOST_TEST((sent().statements.front().what.kind == verb::prepare));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_change_of_the_route)
+
+BOOST_FIXTURE_TEST_CASE(applies_to_the_next_transaction_only, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    configuration c = all.in_force;
+    c.version = 2;
+    c.routes.erase("newest");
+    post(configuration_changed{c});
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(!reply(1));
+    post(member_lost{first_of<open_connection>()->connection, {}, "reset"});
+    wait(1s);
+    query(1, verb::rollback);
+    query(1, verb::read, "READ 1");
+    BOOST_TEST((failure_of(*reply(1))->code == failure_code::unknown_database));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_shutdown)
+
+BOOST_FIXTURE_TEST_CASE(disconnects_idle_callers_and_finishes_the_others, world)
+{
+    start(1, "newest");
+    start(2, "newest");
+    query(2, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    now += 100ms;
+    post(shutdown_started{});
+    BOOST_TEST(!is_ready(all));
+    BOOST_REQUIRE_EQUAL(all_of<close_caller>().size(), 1U);
+    BOOST_TEST(first_of<close_caller>()->session == 1U);
+    succeed(c, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(outcome(2) == "success");
+    wait(100ms);
+    BOOST_TEST(open_sessions(all) == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(lets_open_transactions_end_within_their_time, world)
+{
+    start(1, "newest");
+    query(1, verb::begin);
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    succeed(c, {1, 5}, session_state::in_transaction);
+    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    post(shutdown_started{});
+    wait(2s);
+    BOOST_TEST(open_sessions(all) == 1U);
+    query(1, verb::commit);
+    succeed(c, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(outcome(1) == "success");
+    wait(100ms);
+    BOOST_TEST(open_sessions(all) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
