--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -291,6 +291,15 @@
         pause = too_many_back_off;
     }
     m.open_after = in.now + pause;
+    if (m.failed_opens > 1)
+        return;
+    decision_note n;
+    n.what = "cannot connect to member";
+    n.group = m.about.group;
+    n.server = m.about.server;
+    n.detail = what.refusal ? std::string(to_string(what.refusal->code))
+                            : what.reason;
+    in.out.push_back(std::move(n));
 }
 
 }  // namespace
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -265,7 +265,10 @@
     if (s.gone)
         return fail_statement(in, number, failure_code::busy, "caller left");
     if (p.attempts >= in.all.settings.most_attempts || in.now >= p.deadline)
-        return fail_statement(in, number, failure_code::busy, why.text);
+        return fail_statement(in, number, failure_code::busy,
+                              "given up after " +
+                                  std::string(to_string(why.code)) + ": " +
+                                  why.text);
     admission::enqueue_first(queue_of(in.all.groups.at(s.by.group), p),
                              entry_for(number, s));
     p.queued = true;
