--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -26,6 +26,9 @@
     /// A member gets this many statements at a time for each of its slots,
     /// over all hosts; the rest waits here, in order of rank.
     std::size_t statements_per_slot = 4;
+    /// So many times more at members in other data centres, where statements
+    /// spend most of their time on the way.
+    std::size_t far_factor = 2;
     /// A primary that failed and has not answered for this long since is
     /// unreachable.
     std::chrono::milliseconds unreachable_limit{700};
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -297,8 +297,8 @@
     n.what = "cannot connect to member";
     n.group = m.about.group;
     n.server = m.about.server;
-    n.detail = what.refusal ? std::string(to_string(what.refusal->code))
-                            : what.reason;
+    n.detail =
+        what.refusal ? std::string(to_string(what.refusal->code)) : what.reason;
     in.out.push_back(std::move(n));
 }
 
--- a/libs/pooler/src/connections.cpp
+++ b/libs/pooler/src/connections.cpp
@@ -49,7 +49,9 @@
 std::size_t running_limit(const state& all, const member& m)
 {
     const auto hosts = std::max<std::size_t>(all.live_hosts, 1);
-    const auto total = m.about.slots * all.settings.statements_per_slot;
+    const bool far = m.about.data_centre != all.settings.data_centre;
+    const auto total = m.about.slots * all.settings.statements_per_slot *
+                       (far ? all.settings.far_factor : 1);
     return std::max<std::size_t>((total + hosts - 1) / hosts, 2);
 }
 
--- a/libs/pooler/test/placement_test.cpp
+++ b/libs/pooler/test/placement_test.cpp
@@ -51,6 +51,25 @@
     BOOST_TEST(m.connections.size() == 2U);
 }
 
+// Replays steady work for a distant primary. With the limit of a near one, two
+// statements at a time and 50 ms of way bound a host to 40 a second.
+BOOST_FIXTURE_TEST_CASE(carry_more_at_a_time_to_a_distant_member, world)
+{
+    post(hosts_counted{4});
+    configure(2, 64);
+    report("primary", core::member_role::replica);
+    report("far", core::member_role::primary);
+    for (session_number n = 1; n <= 6; ++n)
+    {
+        start(n, "newest");
+        query(n, verb::write, "WRITE 1 x");
+        while (const auto opened = first_of<open_connection>())
+            post(member_connected{opened->connection, std::nullopt});
+    }
+    const auto& g = all.groups.at(group);
+    BOOST_TEST(g.members.at({"far"}).running == 4U);
+}
+
 BOOST_FIXTURE_TEST_CASE(are_opened_a_few_at_a_time, world)
 {
     for (session_number n = 1; n <= 6; ++n)
