Pass over lagging replicas for longer, and once by each statement

Statements were given up after six refusals of two lagging replicas while the primary was free (log: given up after lagging). A statement now asks a replica that refused it as lagging once, and a replica that keeps lagging is passed over for up to 240 ms.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -47,6 +47,8 @@
     std::chrono::milliseconds age_margin{100};
     /// A member that refused a statement as lagging is passed over.
     std::chrono::milliseconds lag_back_off{60};
+    /// The pause doubles up to this with each further refusal.
+    std::chrono::milliseconds longest_lag_back_off{240};
     /// A member that refused a statement as busy is passed over.
     std::chrono::milliseconds busy_back_off{15};
     /// Beginning a transaction takes no slot, so that a member that answers
@@ -187,6 +189,8 @@
     std::optional<core::time_point> open_after;
     unsigned failed_opens = 0;
     std::optional<core::time_point> lagging_until;
+    /// The last pause after a refusal as lagging; zero after a success.
+    std::chrono::milliseconds lag_pause{0};
     std::optional<core::time_point> busy_until;
     /// When this host learned that it is leaving.
     std::optional<core::time_point> leaving_since;
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -50,6 +50,17 @@
     in.out.push_back(std::move(n));
 }
 
+/// Passes over a replica for longer each time it lags again.
+void note_lagging(context& in, member& m)
+{
+    const auto& settings = in.all.settings;
+    m.lag_pause =
+        m.lag_pause.count() == 0
+            ? settings.lag_back_off
+            : std::min(m.lag_pause * 2, settings.longest_lag_back_off);
+    m.lagging_until = in.now + m.lag_pause;
+}
+
 /// Records what a refusal says about the member.
 void learn_from_refusal(context& in, backend_connection& c, const failure& why)
 {
@@ -57,7 +68,7 @@
     if (!m)
         return;
     if (why.code == failure_code::lagging)
-        m->lagging_until = in.now + in.all.settings.lag_back_off;
+        note_lagging(in, *m);
     if (why.code == failure_code::busy)
         m->busy_until = in.now + in.all.settings.busy_back_off;
     if (why.code != failure_code::read_only)
@@ -100,6 +111,8 @@
     if (const auto* f = failure_of(a))
     {
         learn_from_refusal(in, c, *f);
+        if (f->code == failure_code::lagging)
+            s.current->avoid.insert(c.server);
         queue_again(in, user, *f);
         return finish_connection(in, number, a.state);
     }
@@ -130,6 +143,8 @@
             own = std::max(own, *a.at);
         }
     }
+    if (auto* m = find_member(in, c))
+        m->lag_pause = {};
     end_running(in, user, true);
     if (commits)
         s.in = {};
@@ -171,6 +186,8 @@
     auto& p = *s.current;
     const bool writes = writes_data(s, p.what.what);
     learn_from_refusal(in, c, why);
+    if (why.code == failure_code::lagging)
+        p.avoid.insert(c.server);
     if (why.code == failure_code::unknown_statement)
         c.prepared.erase(s.prepared.at(p.what.what.name).member_name);
     const bool again = !writes && p.attempts < 2;
--- a/libs/pooler/test/freshness_test.cpp
+++ b/libs/pooler/test/freshness_test.cpp
@@ -125,6 +125,34 @@
         BOOST_TEST(server_of(s->connection) != "near");
 }
 
+// Replays a replica that lags for seconds. Without a growing pause each read
+// lost its attempts between lagging replicas while the primary was free.
+BOOST_FIXTURE_TEST_CASE(asks_replicas_that_keep_lagging_less_and_less,
+                        informed_world)
+{
+    start(1, "bounded");
+    query(1, verb::read, "READ 1");
+    fail(sent().connection, failure_code::lagging);
+    fail(sent().connection, failure_code::lagging);
+    BOOST_TEST(server_of(sent().connection) == "primary");
+    unsigned asked = 0;
+    for (session_number n = 2; n < 42; ++n)
+    {
+        now += 25ms;
+        start(n, "bounded");
+        query(n, verb::read, "READ 1");
+        while (const auto s = first_of<send_to_member>())
+        {
+            if (server_of(s->connection) == "primary")
+                break;
+            ++asked;
+            fail(s->connection, failure_code::lagging);
+        }
+    }
+    // In 1 s: after 60, 180, 420, 660 and 900 ms, at each of two replicas.
+    BOOST_TEST(asked <= 10U);
+}
+
 // Guards against positions of an older term, which may never be reached.
 BOOST_FIXTURE_TEST_CASE(forgets_positions_of_an_older_term, informed_world)
 {
