Close connections that are idle for 2 s or beyond the host's share

After a loss of power members count the dead connections for 3 s; hosts that held all 16 could not connect again before.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -37,9 +37,9 @@
     /// Attempts to open connections to one member at a time.
     std::size_t opening_at_once = 2;
     std::chrono::milliseconds open_timeout{1500};
-    /// An idle connection is closed after this time; members close theirs
-    /// after 60 s.
-    std::chrono::milliseconds idle_limit{30000};
+    /// An idle connection is closed after this time, so that room is left at
+    /// the member: after a loss of power it counts dead connections for 3 s.
+    std::chrono::milliseconds idle_limit{2000};
     /// Attempts to run one statement that no member has run yet.
     unsigned most_attempts = 6;
     /// Taken off the age of data that a route allows, for the time between the
--- a/libs/pooler/src/connections.cpp
+++ b/libs/pooler/src/connections.cpp
@@ -144,7 +144,12 @@
     const bool leaving = known &&
                          g->second.members.at(c.server).about.leaving &&
                          g->second.primary != c.server;
-    if (c.phase == connection_phase::idle && (!known || leaving || c.spoiled))
+    // The share of this host shrinks when hosts are added.
+    const bool surplus =
+        known && g->second.members.at(c.server).connections.size() >
+                     connection_limit(in.all, g->second);
+    if (c.phase == connection_phase::idle &&
+        (!known || leaving || surplus || c.spoiled))
         drop_connection(in, number);
 }
 
--- a/libs/pooler/test/placement_test.cpp
+++ b/libs/pooler/test/placement_test.cpp
@@ -81,6 +81,28 @@
     BOOST_TEST(m.connections.size() == all.settings.opening_at_once);
 }
 
+// Replays hosts that are added under load. Without it the first hosts kept all
+// connections and the members turned the new ones away.
+BOOST_FIXTURE_TEST_CASE(are_given_up_when_hosts_are_added, busy_world)
+{
+    auto& m = all.groups.at(group).members.at({"primary"});
+    BOOST_REQUIRE_EQUAL(m.connections.size(), 8U);
+    post(hosts_counted{4});
+    for (const auto c : running)
+        succeed(c, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(m.connections.size() == 2U);
+}
+
+// Guards against members that are full of connections nobody uses when all
+// hosts lose power and connect again.
+BOOST_FIXTURE_TEST_CASE(are_closed_when_they_are_idle, busy_world)
+{
+    for (const auto c : running)
+        succeed(c, {1, 6}, session_state::idle, "s");
+    wait(all.settings.idle_limit + 50ms);
+    BOOST_TEST(all.connections.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(are_not_opened_again_at_once_after_a_refusal, world)
 {
     start(1, "newest");
