Let statements wait for a quarter of their objective at most

While a primary was away or full, statements waited for their whole objective behind others that could not be served either, and callers had no time left to try again.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -40,6 +40,8 @@
     /// An idle connection is closed after this time, so that room is left at
     /// the member: after a loss of power it counts dead connections for 3 s.
     std::chrono::milliseconds idle_limit{2000};
+    /// A statement waits for a member for its objective divided by this.
+    int wait_divisor = 4;
     /// Attempts to run one statement that no member has run yet.
     unsigned most_attempts = 6;
     /// Taken off the age of data that a route allows, for the time between the
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -28,6 +28,13 @@
     return it;
 }
 
+/// How long a statement may wait for a member. A caller that is refused this
+/// early has time to try again, perhaps through another host.
+core::duration longest_wait(const context& in, const route& by)
+{
+    return core::duration(by.objective) / in.all.settings.wait_divisor;
+}
+
 admission::queued entry_for(session_number number, const caller_session& s)
 {
     admission::queued it;
@@ -247,7 +254,7 @@
     auto& g = at->second;
     size_queues(in, g);
     auto entry = entry_for(number, s);
-    entry.deadline = std::min(entry.deadline, in.now + s.by.objective);
+    entry.deadline = std::min(entry.deadline, in.now + longest_wait(in, s.by));
     if (admission::enqueue(queue_of(g, p), queue_limits(), entry, in.now))
         return fail_statement(in, number, failure_code::busy,
                               "the queue is too long for the objective");
