--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -62,15 +62,6 @@
                   { await_end(it, began, t); });
 }
 
-void shut_down(app& it)
-{
-    telemetry::log_event(telemetry::log_level::info, "stopping",
-                         {{"grace", it.settings.grace}});
-    handle(it, pooler::shutdown_started{});
-    await_end(it, core::runtime_clock::now(),
-              std::make_shared<core::timer>(it.io));
-}
-
 void await_signals(app& it, boost::asio::signal_set& signals, bool stopping)
 {
     signals.async_wait(
@@ -122,18 +113,31 @@
     return std::monostate{};
 }
 
+}  // namespace
+}  // namespace detail
+
 core::result<std::monostate> start(app& it)
 {
     it.metrics = telemetry::make_metrics();
     it.decisions.state.settings.data_centre = it.settings.data_centre;
-    auto http = start_http(it);
+    auto http = detail::start_http(it);
     if (!ok(http))
         return http;
     watch_store(it);
     watch_primaries(it);
+    detail::keep_ticking(it, std::make_shared<core::timer>(it.io));
     return listen_for_callers(it);
 }
 
+void shut_down(app& it)
+{
+    telemetry::log_event(telemetry::log_level::info, "stopping",
+                         {{"grace", it.settings.grace}});
+    handle(it, pooler::shutdown_started{});
+    detail::await_end(it, core::runtime_clock::now(),
+                      std::make_shared<core::timer>(it.io));
+}
+
 void run_workers(app& it)
 {
     std::vector<std::thread> workers;
@@ -144,9 +148,6 @@
         n.join();
 }
 
-}  // namespace
-}  // namespace detail
-
 int run(const std::string& settings_path)
 {
     auto read = read_host_settings(settings_path);
@@ -159,19 +160,18 @@
     app it(std::get<host_settings>(std::move(read)));
     boost::asio::signal_set signals(it.io, SIGTERM, SIGINT, SIGHUP);
     detail::await_signals(it, signals, false);
-    const auto started = detail::start(it);
+    const auto started = start(it);
     if (const auto* e = std::get_if<core::error>(&started))
     {
         telemetry::log_event(telemetry::log_level::error, "cannot serve",
                              {{"reason", e->message}});
         return detail::exit_bad_settings;
     }
-    detail::keep_ticking(it, std::make_shared<core::timer>(it.io));
     telemetry::log_event(telemetry::log_level::info, "started",
                          {{"host", it.settings.name},
                           {"data_centre", it.settings.data_centre},
                           {"workers", it.settings.workers}});
-    detail::run_workers(it);
+    run_workers(it);
     return 0;
 }
 
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -278,8 +278,8 @@
     const auto group = c.group;
     const auto server = c.server;
     auto* m = find_member(in, c);
-    if (m && c.phase != connection_phase::idle &&
-        c.phase != connection_phase::opening)
+    // A connection that was reset says nothing about the next one.
+    if (m && timed_out)
         m->failed = in.now;
     if (user != 0 && c.phase == connection_phase::busy)
     {
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -53,6 +53,9 @@
 
 void take_configuration(context& in, const configuration& to)
 {
+    // A row that is read again after a lost connection may be an older one.
+    if (to.version <= in.all.in_force.version)
+        return;
     in.all.in_force = to;
     for (const auto& [id, settings] : to.groups)
         in.all.groups[id].settings = settings;
--- a/libs/pooler/test/failures_test.cpp
+++ b/libs/pooler/test/failures_test.cpp
@@ -28,6 +28,18 @@
     BOOST_TEST(first_of<open_connection>()->server.value != "primary");
 }
 
+// Guards against a primary that gets no work because of one lost answer.
+BOOST_FIXTURE_TEST_CASE(the_next_write_goes_to_the_same_primary, world)
+{
+    start(1, "newest");
+    start(2, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    post(member_lost{sent().connection, std::nullopt, "reset"});
+    query(2, verb::write, "WRITE 2 x");
+    BOOST_REQUIRE(first_of<open_connection>());
+    BOOST_TEST(first_of<open_connection>()->server.value == "primary");
+}
+
 BOOST_FIXTURE_TEST_CASE(a_read_is_sent_again_elsewhere, world)
 {
     start(100, "newest");
--- a/libs/pooler/test/sessions_test.cpp
+++ b/libs/pooler/test/sessions_test.cpp
@@ -192,6 +192,16 @@
 
 BOOST_AUTO_TEST_SUITE(a_change_of_the_route)
 
+BOOST_FIXTURE_TEST_CASE(is_not_taken_back_by_an_older_configuration, world)
+{
+    configure(5);
+    configuration older = all.in_force;
+    older.version = 4;
+    older.routes.clear();
+    post(configuration_changed{older});
+    start(1, "newest");
+}
+
 BOOST_FIXTURE_TEST_CASE(applies_to_the_next_transaction_only, world)
 {
     start(1, "newest");
--- /dev/null
+++ b/test/pooled/pooled_test.cpp
@@ -0,0 +1,418 @@
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "godwitbarrow/telemetry/log.hpp"
+#include "member_standin.hpp"
+#include "pooled/app.hpp"
+#include "pooled/run.hpp"
+#include "store_standin.hpp"
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::test;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using pooled = proxy::pooled::app;
+
+namespace
+{
+
+/// Generous, and only reached if a test fails.
+constexpr auto test_limit = 20s;
+
+std::uint16_t free_port()
+{
+    asio::io_context io;
+    const tcp::acceptor it(io, {asio::ip::address_v4::loopback(), 0});
+    return it.local_endpoint().port();
+}
+
+core::endpoint local(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+/// A caller with a blocking socket.
+struct caller
+{
+    asio::io_context io;
+    tcp::socket socket{io};
+    std::string buf;
+
+    caller(std::uint16_t port, const std::string& database)
+    {
+        socket.connect({asio::ip::address_v4::loopback(), port});
+        write("STARTUP " + database + " test");
+    }
+
+    void write(const std::string& line)
+    {
+        asio::write(socket, asio::buffer(line + "\r\n"));
+    }
+
+    std::string line()
+    {
+        boost::system::error_code ec;
+        const auto n =
+            asio::read_until(socket, asio::dynamic_buffer(buf), '\n', ec);
+        if (ec)
+            return "closed";
+        auto out = buf.substr(0, n - 2);
+        buf.erase(0, n);
+        return out;
+    }
+
+    /// The lines of the answer up to its end, joined.
+    std::string query(const std::string& text)
+    {
+        write("QUERY 5c0e7a21 " + text);
+        std::string out;
+        for (auto it = line(); it != "closed"; it = line())
+        {
+            out += out.empty() ? it : " | " + it;
+            if (it.rfind("READY", 0) == 0)
+                return out;
+        }
+        return out + "closed";
+    }
+};
+
+/// One host, its store and a group of three members as threads of the test.
+struct deployment
+{
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work{
+        io.get_executor()};
+    std::shared_ptr<group_data> data = std::make_shared<group_data>();
+    store_standin store{io};
+    std::vector<std::unique_ptr<member_standin>> members;
+    std::unique_ptr<pooled> host;
+    std::thread standins;
+    std::thread proxy;
+    std::uint16_t port = free_port();
+
+    explicit deployment(std::size_t workers = 1)
+    {
+        telemetry::start_logging(telemetry::log_level::error);
+        data->primary = "a";
+        store.promoted = [this](const std::string&, const std::string& id)
+        {
+            promote(id);
+        };
+        for (const auto* id : {"a", "b", "c"})
+        {
+            members.push_back(
+                std::make_unique<member_standin>(io, "quotes", id, data));
+            register_member(*members.back());
+        }
+        configure(1);
+        standins = std::thread([this] { io.run(); });
+        proxy::pooled::host_settings settings;
+        settings.name = {"host-1"};
+        settings.data_centre = {"north"};
+        settings.workers = workers;
+        settings.callers = local(port);
+        settings.readiness = local(free_port());
+        settings.store = local(store.port());
+        settings.promotions = local(store.port());
+        settings.grace = 4000ms;
+        host = std::make_unique<pooled>(settings);
+        BOOST_REQUIRE(ok(proxy::pooled::start(*host)));
+        proxy = std::thread([this] { proxy::pooled::run_workers(*host); });
+        wait_until([this] { return host->ready.load(); });
+        wait_until([this] { return member_count() == 3; });
+    }
+
+    ~deployment()
+    {
+        host->io.stop();
+        proxy.join();
+        io.stop();
+        standins.join();
+    }
+
+    std::size_t member_count()
+    {
+        std::lock_guard lock(host->decisions.mutex);
+        const auto& groups = host->decisions.state.groups;
+        const auto it = groups.find({"quotes"});
+        return it == groups.end() ? 0 : it->second.members.size();
+    }
+
+    template <class Condition>
+    void wait_until(Condition&& done)
+    {
+        const auto limit = std::chrono::steady_clock::now() + test_limit;
+        while (!done() && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(2ms);
+        BOOST_REQUIRE(done());
+    }
+
+    /// Runs on the thread of the stand-ins.
+    template <class Action>
+    void at_standins(Action&& action)
+    {
+        std::promise<void> done;
+        asio::post(io,
+                   [&]
+                   {
+                       action();
+                       done.set_value();
+                   });
+        done.get_future().wait();
+    }
+
+    void register_member(const member_standin& m, bool leaving = false)
+    {
+        store.put("servers", m.id,
+                  R"({"service":"quotes","addr":"127.0.0.1:)" +
+                      std::to_string(m.port()) +
+                      R"(","zone":"north","version":"v1","slots":2,"state":")" +
+                      (leaving ? "draining" : "ready") +
+                      R"(","cold_left_ms":0,"db_role":")" +
+                      (data->primary == m.id ? "primary" : "replica") +
+                      R"(","seq":1,"born":1})");
+    }
+
+    void promote(const std::string& id)
+    {
+        data->primary = id;
+        ++data->at.term;
+        for (const auto& m : members)
+            register_member(*m);
+    }
+
+    void configure(int version)
+    {
+        const auto route = [](const char* host, const char* type, int age)
+        {
+            return std::string(R"({"name":"r","host":")") + host +
+                   R"(","type":")" + type +
+                   R"(","timeout_ms":2000,"slo_ms":4000,"priority":0,)"
+                   R"("service":"quotes","max_stale_ms":)" +
+                   std::to_string(age) + "}";
+        };
+        store.put("op", "config",
+                  R"({"version":)" + std::to_string(version) +
+                      R"(,"routes":[)" + route("newest", "primary", 0) + "," +
+                      route("bounded", "bounded", 1500) + "," +
+                      route("own", "session", 2500) +
+                      R"(],"services":[{"name":"quotes","max_conns":16,)"
+                      R"("sync_replicas":0}],"limits":{"tx_idle_ms":3000}})");
+    }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(a_host_on_the_platform)
+
+BOOST_FIXTURE_TEST_CASE(serves_sessions_from_one_end_to_the_other, deployment)
+{
+    caller it(port, "newest");
+    BOOST_TEST(it.line() == "READY I -");
+    BOOST_TEST(it.query("SET encoding utf8") == "DONE - | READY I -");
+    BOOST_TEST(it.query("WRITE 1 x") == "DONE sig | READY I -");
+    BOOST_TEST(it.query("READ 1") == "ROW x | DONE sig | READY I -");
+    BOOST_TEST(it.query("PREPARE s1 WRITE q2c") == "DONE - | READY I -");
+    BOOST_TEST(it.query("BEGIN") == "DONE - | READY T -");
+    BOOST_TEST(it.query("EXECUTE s1 1 y") == "DONE sig | READY T -");
+    BOOST_TEST(it.query("READ 1") == "ROW y | DONE sig | READY T -");
+    BOOST_TEST(it.query("ROLLBACK") == "DONE - | READY I -");
+    BOOST_TEST(it.query("READ 1") == "ROW x | DONE sig | READY I -");
+}
+
+BOOST_FIXTURE_TEST_CASE(refuses_a_database_without_a_route, deployment)
+{
+    caller it(port, "elsewhere");
+    BOOST_TEST(it.line().rfind("ERROR NODB", 0) == 0U);
+    BOOST_TEST(it.line() == "closed");
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_own_writes_at_replicas, deployment)
+{
+    caller it(port, "own");
+    it.line();
+    for (int n = 0; n < 10; ++n)
+    {
+        const auto value = "v" + std::to_string(n);
+        BOOST_TEST(it.query("WRITE 1 " + value) == "DONE sig | READY I -");
+        BOOST_TEST(it.query("READ 1") ==
+                   "ROW " + value + " | DONE sig | READY I -");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE(survives_callers)
+
+BOOST_FIXTURE_TEST_CASE(that_send_nonsense_or_half_a_message, deployment)
+{
+    for (const auto* text : {"\r\n", "QUERY\r\n", "\xff\xfe\r\n",
+                             "STARTUP a\r\nSTARTUP b\r\n", "STARTUP"})
+    {
+        asio::io_context own;
+        tcp::socket s(own);
+        s.connect({asio::ip::address_v4::loopback(), port});
+        asio::write(s, asio::buffer(std::string(text)));
+    }
+    caller it(port, "newest");
+    BOOST_TEST(it.line() == "READY I -");
+    BOOST_TEST(it.query("READ 1") == "ROW none | DONE sig | READY I -");
+}
+
+BOOST_FIXTURE_TEST_CASE(that_leave_inside_a_transaction, deployment)
+{
+    for (int n = 0; n < 20; ++n)
+    {
+        caller it(port, "newest");
+        it.line();
+        it.query("BEGIN");
+        it.query("WRITE 1 lost");
+    }
+    caller it(port, "newest");
+    it.line();
+    BOOST_TEST(it.query("READ 1") == "ROW none | DONE sig | READY I -");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_answer_to_a_write_is_lost)
+
+// Guards against a write that takes effect twice.
+BOOST_FIXTURE_TEST_CASE(says_so_and_does_not_repeat_it, deployment)
+{
+    at_standins([&] { members[0]->lose_next_write = true; });
+    caller it(port, "newest");
+    it.line();
+    BOOST_TEST(it.query("WRITE 1 x").rfind("ERROR INDOUBT", 0) == 0U);
+    BOOST_TEST(it.query("READ 1") == "ROW x | DONE sig | READY I -");
+    at_standins([&] { BOOST_TEST(data->writes == 1U); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_primary_goes_dark)
+
+BOOST_FIXTURE_TEST_CASE(promotes_a_replica_and_goes_on, deployment)
+{
+    caller it(port, "newest");
+    it.line();
+    it.query("WRITE 1 x");
+    at_standins([&] { members[0]->dark = true; });
+    wait_until([&] { return it.query("WRITE 1 y") == "DONE sig | READY I -"; });
+    at_standins([&] { BOOST_TEST(data->primary != "a"); });
+    BOOST_TEST(it.query("READ 1") == "ROW y | DONE sig | READY I -");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_the_store_is_away)
+
+BOOST_FIXTURE_TEST_CASE(serves_on_with_what_it_knows, deployment)
+{
+    at_standins([&] { store.down = true; });
+    caller it(port, "newest");
+    it.line();
+    BOOST_TEST(it.query("WRITE 1 x") == "DONE sig | READY I -");
+    BOOST_TEST(host->ready.load());
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_anew_what_it_missed, deployment)
+{
+    at_standins(
+        [&]
+        {
+            store.history_lost = true;
+            configure(2);
+        });
+    wait_until(
+        [&]
+        {
+            std::lock_guard lock(host->decisions.mutex);
+            return host->decisions.state.in_force.version == 2;
+        });
+}
+
+BOOST_FIXTURE_TEST_CASE(ignores_entries_of_other_writers, deployment)
+{
+    at_standins(
+        [&]
+        {
+            store.put("servers", "x", "\xff\x01 no entry");
+            store.put("servers", "y", R"({"service":3})");
+            configure(3);
+        });
+    wait_until(
+        [&]
+        {
+            std::lock_guard lock(host->decisions.mutex);
+            return host->decisions.state.in_force.version == 3;
+        });
+    BOOST_TEST(member_count() == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_it_is_told_to_stop)
+
+BOOST_FIXTURE_TEST_CASE(finishes_open_transactions_and_ends, deployment)
+{
+    caller idle(port, "newest");
+    idle.line();
+    caller it(port, "newest");
+    it.line();
+    it.query("BEGIN");
+    it.query("WRITE 1 x");
+    asio::post(host->io, [&] { proxy::pooled::shut_down(*host); });
+    BOOST_TEST(idle.line() == "closed");
+    BOOST_TEST(!host->ready.load());
+    BOOST_TEST(it.query("COMMIT") == "DONE sig | READY I -");
+    BOOST_TEST(it.line() == "closed");
+    wait_until([&] { return host->io.stopped(); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_several_workers)
+
+struct busy_deployment : deployment
+{
+    busy_deployment() : deployment(4) {}
+};
+
+// Guards against answers that reach another session, and data races.
+BOOST_FIXTURE_TEST_CASE(keeps_sessions_apart, busy_deployment)
+{
+    std::vector<std::thread> callers;
+    std::atomic<int> wrong{0};
+    for (int n = 0; n < 8; ++n)
+        callers.emplace_back(
+            [&, n]
+            {
+                caller it(port, "own");
+                it.line();
+                const auto item = std::to_string(n);
+                for (int i = 0; i < 50; ++i)
+                {
+                    const auto value = item + "-" + std::to_string(i);
+                    const auto written =
+                        it.query("WRITE " + item + " " + value);
+                    const auto read = it.query("READ " + item);
+                    if (written != "DONE sig | READY I -" ||
+                        read != "ROW " + value + " | DONE sig | READY I -")
+                        ++wrong;
+                }
+            });
+    for (auto& t : callers)
+        t.join();
+    BOOST_TEST(wrong.load() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/pooled/store_standin.cpp
@@ -0,0 +1,173 @@
+#include "store_standin.hpp"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+namespace godwitbarrow::test
+{
+namespace detail
+{
+namespace
+{
+
+namespace json = boost::json;
+namespace base64 = boost::beast::detail::base64;
+
+std::string encode(const std::string& text)
+{
+    std::string out(base64::encoded_size(text.size()), '\0');
+    out.resize(base64::encode(out.data(), text.data(), text.size()));
+    return out;
+}
+
+std::string decode(const std::string& text)
+{
+    std::string out(base64::decoded_size(text.size()), '\0');
+    out.resize(base64::decode(out.data(), text.data(), text.size()).first);
+    return out;
+}
+
+json::object describe(const std::string& table, const std::string& key,
+                      const store_row& row)
+{
+    json::object out{
+        {"table", table}, {"part", ""}, {"key", key}, {"ver", row.version}};
+    if (row.deleted)
+        out["tombstone"] = true;
+    else
+        out["value"] = encode(row.value);
+    return out;
+}
+
+void answer_rows(store_standin& s, const standins::http_session_ptr& to,
+                 json::array rows)
+{
+    const json::object body{{"rows", std::move(rows)},
+                            {"has_more", false},
+                            {"ver", s.version},
+                            {"now_ms", 50000 + s.version}};
+    standins::reply(to, {200, json::serialize(body), false});
+}
+
+/// Rows that changed after a version, the oldest first.
+json::array changes(store_standin& s, const std::string& table,
+                    std::uint64_t after)
+{
+    std::map<std::uint64_t, json::object> found;
+    for (const auto& [key, row] : s.tables[table])
+        if (row.version > after)
+            found.emplace(row.version, describe(table, key, row));
+    json::array out;
+    for (auto& [version, row] : found)
+        out.push_back(std::move(row));
+    return out;
+}
+
+void wake(store_standin& s)
+{
+    auto calls = std::exchange(s.waiting, {});
+    for (auto& it : calls)
+    {
+        auto rows = changes(s, it.table, it.after);
+        if (rows.empty())
+            s.waiting.push_back(std::move(it));
+        else
+            answer_rows(s, it.session, std::move(rows));
+    }
+}
+
+std::string text_of(const json::value& from, const char* key)
+{
+    return std::string(from.at(key).as_string());
+}
+
+void run_transaction(store_standin& s, const standins::http_session_ptr& to,
+                     const std::string& body)
+{
+    const auto call = json::parse(body);
+    for (const auto& it : call.at("precondition").as_array())
+    {
+        const auto& table = s.tables[text_of(it, "table")];
+        const auto row = table.find(text_of(it, "key"));
+        const auto found = row == table.end() ? 0 : row->second.version;
+        if (found != it.at("ver").to_number<std::uint64_t>())
+            return standins::reply(to, {412, "{\"rows\":[]}", false});
+    }
+    ++s.version;
+    for (const auto& it : call.at("puts").as_array())
+        s.tables[text_of(it, "table")][text_of(it, "key")] = {
+            decode(text_of(it, "value")), s.version, false};
+    const json::object out{{"ver", s.version}, {"now_ms", 50000 + s.version}};
+    standins::reply(to, {200, json::serialize(out), false});
+    wake(s);
+}
+
+void list_rows(store_standin& s, const standins::http_session_ptr& to,
+               const standins::http_request& req)
+{
+    const auto& table = req.query.at("table");
+    const auto from = req.query.find("from");
+    json::array rows;
+    for (const auto& [key, row] : s.tables[table])
+        if (!row.deleted && (from == req.query.end() || key >= from->second))
+            rows.push_back(describe(table, key, row));
+    answer_rows(s, to, std::move(rows));
+}
+
+void watch_rows(store_standin& s, const standins::http_session_ptr& to,
+                const standins::http_request& req)
+{
+    if (std::exchange(s.history_lost, false))
+        return standins::reply(to, {410, "{}", false});
+    s.waiting.push_back(
+        {to, req.query.at("table"), std::stoull(req.query.at("after"))});
+    wake(s);
+}
+
+void serve(store_standin& s, const standins::http_session_ptr& to,
+           const standins::http_request& req)
+{
+    if (s.down)
+        return standins::reply(to, {503, "{}", false});
+    if (req.path == "/rows-get")
+        return list_rows(s, to, req);
+    if (req.path == "/rows-feed")
+        return watch_rows(s, to, req);
+    if (req.path == "/rows-tx")
+        return run_transaction(s, to, req.body);
+    const auto body = json::parse(req.body);
+    s.promoted(text_of(body, "service"), text_of(body, "id"));
+    standins::reply(to, {200, "{}", false});
+}
+
+}  // namespace
+}  // namespace detail
+
+store_standin::store_standin(boost::asio::io_context& io)
+{
+    standins::http_hooks hooks;
+    hooks.on_request = [this](const standins::http_session_ptr& to,
+                              const standins::http_request& req)
+    {
+        detail::serve(*this, to, req);
+    };
+    hooks.on_close = [](std::uint64_t) {
+    };
+    server =
+        standins::listen(io.get_executor(), "127.0.0.1", 0, std::move(hooks));
+}
+
+void store_standin::put(const std::string& table, const std::string& key,
+                        const std::string& value)
+{
+    tables[table][key] = {value, ++version, false};
+    detail::wake(*this);
+}
+
+void store_standin::remove(const std::string& table, const std::string& key)
+{
+    tables[table][key] = {{}, ++version, true};
+    detail::wake(*this);
+}
+
+}  // namespace godwitbarrow::test
