Write the pooler's log to standard output without waiting for its reader

A refused request's line names how long it was held, how often it was tried, the primary that this host believed in and the age of the newest known position.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -42,6 +42,15 @@
         members;
 };
 
+/// Bounds the log lines about requests. Used by the thread that performs
+/// actions only.
+struct request_log
+{
+    core::time_point second;
+    std::uint64_t written = 0;
+    std::uint64_t left_out = 0;
+};
+
 /// One group in the hands of `takeover`.
 struct takeover_entry
 {
@@ -72,6 +81,7 @@
     decision_table decisions;
     link_table links;
     takeover_table takeovers;
+    request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
     std::atomic<bool> ticking{false};
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -156,7 +156,8 @@
         std::cerr << settings_path << ": " << e->message << '\n';
         return detail::exit_bad_settings;
     }
-    telemetry::start_logging();
+    telemetry::start_logging(telemetry::log_level::info,
+                             telemetry::log_target::standard_output);
     app it(std::get<host_settings>(std::move(read)));
     boost::asio::signal_set signals(it.io, SIGTERM, SIGINT, SIGHUP);
     detail::await_signals(it, signals, false);
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -149,6 +151,11 @@
     core::group_id group;
     core::server_id server;
     std::string detail;
+    /// Of a request: how often it was given to a member, how long ago it
+    /// arrived, and the age of the newest known position of the primary.
+    unsigned attempts = 0;
+    std::chrono::milliseconds held{0};
+    std::optional<std::chrono::milliseconds> position_age;
 };
 
 /// A caller's statement ended, for the metrics.
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -205,6 +205,32 @@
     in.out.push_back(std::move(m));
 }
 
+/// The decision with the inputs that led to it, for the log.
+decision_note describe_failure(const context& in, const caller_session& s,
+                               failure_code code, const std::string& reason)
+{
+    const auto& p = *s.current;
+    decision_note note;
+    note.about_request = true;
+    note.what = to_string(code);
+    note.request = p.what.id;
+    note.group = s.by.group;
+    note.detail = reason;
+    note.attempts = p.attempts;
+    note.held = std::chrono::duration_cast<std::chrono::milliseconds>(
+        in.now - p.arrived);
+    const auto g = in.all.groups.find(s.by.group);
+    if (g == in.all.groups.end())
+        return note;
+    note.server = g->second.primary.value_or(core::server_id{});
+    const auto& samples = g->second.history.samples;
+    if (!samples.empty())
+        note.position_age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                in.now - samples.back().sent);
+    return note;
+}
+
 }  // namespace
 
 session_state state_of(const caller_session& it)
@@ -244,13 +270,7 @@
         end_transaction(in, s);
         s.in.phase = ends ? transaction_phase::none : transaction_phase::failed;
     }
-    decision_note note;
-    note.about_request = true;
-    note.what = to_string(code);
-    note.request = s.current->what.id;
-    note.group = s.by.group;
-    note.detail = reason;
-    in.out.push_back(std::move(note));
+    in.out.push_back(describe_failure(in, s, code, reason));
     finish_statement(in, number,
                      {{}, failure{code, std::move(reason)}, state_of(s), {}});
 }
--- a/libs/telemetry/include/godwitbarrow/telemetry/log.hpp
+++ b/libs/telemetry/include/godwitbarrow/telemetry/log.hpp
@@ -10,8 +10,7 @@
 
 #include "godwitbarrow/core/names.hpp"
 
-/// Structured logs on standard error: one line an event, with key=value
-/// fields.
+/// Structured logs: one line an event, with key=value fields.
 namespace godwitbarrow::telemetry
 {
 
@@ -57,9 +56,16 @@
 
 using fields = std::initializer_list<field>;
 
-/// Sends events to standard error. Call once before the first event; further
-/// calls only set the level.
-void start_logging(log_level least = log_level::info);
+enum class log_target
+{
+    standard_error,
+    /// Never waits for a reader; lines that find no room are counted.
+    standard_output
+};
+
+/// Call once before the first event; further calls only set the level.
+void start_logging(log_level least = log_level::info,
+                   log_target to = log_target::standard_error);
 void set_log_level(log_level least);
 
 /// Callable from any thread.
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -5,8 +5,15 @@
 #include <log4cxx/patternlayout.h>
 
 #include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
 #include <mutex>
 
+#include "godwitbarrow/core/lock_order.hpp"
+#include "godwitbarrow/telemetry/line_writer.hpp"
+
 namespace godwitbarrow::telemetry
 {
 namespace detail
@@ -38,6 +45,50 @@
     }
 }
 
+/// Standard output, once it is the target. log4cxx has no appender that does
+/// not wait for its reader.
+struct output
+{
+    std::atomic<bool> used{false};
+    core::ordered_mutex<core::lock_level::metrics> mutex;
+    line_writer to;
+};
+
+output& standard_output()
+{
+    static output it;
+    return it;
+}
+
+std::string timestamp()
+{
+    using namespace std::chrono;
+    const auto now = system_clock::now();
+    const auto t = system_clock::to_time_t(now);
+    const auto ms =
+        duration_cast<milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::tm parts{};
+    gmtime_r(&t, &parts);
+    std::array<char, 40> buf{};
+    const auto n =
+        std::strftime(buf.data(), buf.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(buf.data() + n, buf.size() - n, ".%03d",
+                  static_cast<int>(ms));
+    return buf.data();
+}
+
+void write_output(log_level level, const std::string& text)
+{
+    auto line = timestamp();
+    line += ' ';
+    line += level_names[static_cast<std::size_t>(level)];
+    line += ' ';
+    line += text;
+    auto& out = standard_output();
+    std::lock_guard lock(out.mutex);
+    write_line(out.to, line);
+}
+
 void add_appender()
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
@@ -99,10 +150,13 @@
     return std::nullopt;
 }
 
-void start_logging(log_level least)
+void start_logging(log_level least, log_target to)
 {
     static std::once_flag once;
-    std::call_once(once, detail::add_appender);
+    if (to == log_target::standard_output)
+        detail::standard_output().used = true;
+    else
+        std::call_once(once, detail::add_appender);
     set_log_level(least);
 }
 
@@ -115,8 +169,11 @@
 {
     const auto it = detail::logger();
     const auto at = detail::convert(level);
-    if (it->isEnabledFor(at))
-        it->forcedLog(at, format_event(message, with));
+    if (!it->isEnabledFor(at))
+        return;
+    if (detail::standard_output().used)
+        return detail::write_output(level, format_event(message, with));
+    it->forcedLog(at, format_event(message, with));
 }
 
 std::string format_event(std::string_view message, fields with)
