Ask no lagging replica twice while the primary is away

While the primary was searched for, a replica that had refused the read as lagging was chosen again as the possible primary. A statement that goes back to its queue waits for a quarter of its objective at most, like a new one.

--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -35,13 +35,15 @@
     return core::duration(by.objective) / in.all.settings.wait_divisor;
 }
 
-admission::queued entry_for(session_number number, const caller_session& s)
+admission::queued entry_for(const context& in, session_number number,
+                            const caller_session& s)
 {
     admission::queued it;
     it.id = queue_key(number);
     it.importance = s.by.importance;
     it.arrived = s.current->arrived;
-    it.deadline = s.current->deadline;
+    it.deadline =
+        std::min(s.current->deadline, in.now + longest_wait(in, s.by));
     return it;
 }
 
@@ -93,6 +95,11 @@
     const auto primary = primary_candidate(g, in.all.settings, in.now);
     if (!primary)
         return {};
+    // While a primary is searched for, a read that a replica refused as
+    // lagging would be refused there again.
+    if (!s.current->newest && primary != g.primary &&
+        s.current->avoid.count(*primary) > 0)
+        return {};
     return {*primary};
 }
 
@@ -253,8 +260,7 @@
                               "no member of the group is registered");
     auto& g = at->second;
     size_queues(in, g);
-    auto entry = entry_for(number, s);
-    entry.deadline = std::min(entry.deadline, in.now + longest_wait(in, s.by));
+    const auto entry = entry_for(in, number, s);
     if (admission::enqueue(queue_of(g, p), queue_limits(), entry, in.now))
         return fail_statement(in, number, failure_code::busy,
                               "the queue is too long for the objective");
@@ -277,7 +283,7 @@
                                   std::string(to_string(why.code)) + ": " +
                                   why.text);
     admission::enqueue_first(queue_of(in.all.groups.at(s.by.group), p),
-                             entry_for(number, s));
+                             entry_for(in, number, s));
     p.queued = true;
 }
 
--- a/libs/pooler/test/freshness_test.cpp
+++ b/libs/pooler/test/freshness_test.cpp
@@ -153,6 +153,24 @@
     BOOST_TEST(asked <= 10U);
 }
 
+// Replays lagging replicas while the primary is away: reads lost all their
+// attempts to the same replica within milliseconds.
+BOOST_FIXTURE_TEST_CASE(asks_no_replica_twice_while_the_primary_is_away,
+                        informed_world)
+{
+    all.groups.at(group).members.at({"primary"}).failed = now;
+    start(1, "bounded");
+    query(1, verb::read, "READ 1");
+    fail(sent().connection, failure_code::lagging);
+    fail(sent().connection, failure_code::lagging);
+    BOOST_TEST(!reply(1));
+    BOOST_TEST(!first_of<send_to_member>());
+    wait(50ms);
+    BOOST_TEST(!first_of<send_to_member>());
+    wait(75ms);
+    BOOST_TEST(outcome(1) == "busy");
+}
+
 // Guards against positions of an older term, which may never be reached.
 BOOST_FIXTURE_TEST_CASE(forgets_positions_of_an_older_term, informed_world)
 {
