--- a/apps/proxy/src/pooled/member_question.cpp
+++ b/apps/proxy/src/pooled/member_question.cpp
@@ -27,7 +27,8 @@
 };
 using question_ptr = std::shared_ptr<question>;
 
-void finish(const question_ptr& q, std::optional<takeover::member_report> r)
+void finish(const question_ptr& q,
+            const std::optional<takeover::member_report>& r)
 {
     const auto handler = std::exchange(q->handler, {});
     if (!handler)
@@ -36,7 +37,7 @@
     // The handlers of the link refer to the question.
     if (const auto link = std::exchange(q->link, nullptr))
         stream::close(link);
-    handler(std::move(r));
+    handler(r);
 }
 
 void take_answer(const question_ptr& q, const pooler::answer& a)
--- a/apps/tool/test/pages_test.cpp
+++ b/apps/tool/test/pages_test.cpp
@@ -11,7 +11,7 @@
 // Guards against an error kind that is added without a meaning and a remedy.
 BOOST_AUTO_TEST_CASE(the_operations_page_has_a_row_for_every_kind)
 {
-    std::ifstream in(SOURCE_DIRECTORY "/docs/operations.md");
+    std::ifstream in(SOURCE_DIRECTORY "/docs/OPERATIONS.md");
     std::stringstream page;
     page << in.rdbuf();
     for (int n = 0; n <= static_cast<int>(core::error_kind::internal); ++n)
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -81,6 +81,7 @@
     }
     std::sort(rated.begin(), rated.end());
     std::vector<core::server_id> out;
+    out.reserve(rated.size());
     for (auto& it : rated)
         out.push_back(std::move(std::get<core::server_id>(it)));
     return out;
--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -388,9 +388,11 @@
 // Guards against answers that reach another session, and data races.
 BOOST_FIXTURE_TEST_CASE(keeps_sessions_apart, busy_deployment)
 {
+    constexpr int caller_count = 8;
     std::vector<std::thread> callers;
+    callers.reserve(caller_count);
     std::atomic<int> wrong{0};
-    for (int n = 0; n < 8; ++n)
+    for (int n = 0; n < caller_count; ++n)
         callers.emplace_back(
             [&, n]
             {
@@ -400,8 +402,9 @@
                 for (int i = 0; i < 50; ++i)
                 {
                     const auto value = item + "-" + std::to_string(i);
-                    const auto written =
-                        it.query("WRITE " + item + " " + value);
+                    std::string write = "WRITE ";
+                    write.append(item).append(" ").append(value);
+                    const auto written = it.query(write);
                     const auto read = it.query("READ " + item);
                     if (written != "DONE sig | READY I -" ||
                         read != "ROW " + value + " | DONE sig | READY I -")
