--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -144,6 +144,16 @@
     }
 }
 
+bool is_configured(const state& all)
+{
+    return all.in_force.version > 0;
+}
+
+bool needs_route(verb it)
+{
+    return it != verb::set && it != verb::prepare && it != verb::deallocate;
+}
+
 /// Takes over the route that is in force, between transactions only.
 bool refresh_route(const state& all, caller_session& s)
 {
@@ -162,12 +172,13 @@
     s.current.emplace();
     s.current->what = std::move(what);
     s.current->arrived = in.now;
-    if (!refresh_route(in.all, s))
-    {
-        answer_locally(in, number,
-                       failure{failure_code::unknown_database, s.database});
-        return;
-    }
+    if (!is_configured(in.all) && needs_route(s.current->what.what.kind))
+        return answer_locally(
+            in, number,
+            failure{failure_code::busy, "this host has no configuration yet"});
+    if (is_configured(in.all) && !refresh_route(in.all, s))
+        return answer_locally(
+            in, number, failure{failure_code::unknown_database, s.database});
     s.current->deadline = in.now + s.by.statement_timeout;
     in.all.active.insert(number);
     run_statement(in, number, s);
@@ -286,7 +297,8 @@
     caller_session s;
     s.database = what.database;
     s.idle_since = in.now;
-    if (!refresh_route(in.all, s))
+    // Before the first configuration nothing is known of any database.
+    if (is_configured(in.all) && !refresh_route(in.all, s))
     {
         in.out.push_back(refuse_caller{
             what.session, {failure_code::unknown_database, what.database}});
--- a/libs/pooler/test/sessions_test.cpp
+++ b/libs/pooler/test/sessions_test.cpp
@@ -25,6 +25,23 @@
     BOOST_TEST(all_of<open_connection>().empty());
 }
 
+// Guards against a host that has just started and tells callers that their
+// database does not exist (hunt-feb2-39 of atlas-pergola).
+BOOST_AUTO_TEST_CASE(is_asked_to_come_back_while_there_is_no_configuration)
+{
+    world it;
+    const auto known = it.all.in_force;
+    it.all.in_force = {};
+    it.start(1, "newest");
+    it.query(1, verb::set, "utf8", "encoding");
+    BOOST_TEST(it.outcome(1) == "success");
+    it.query(1, verb::read, "READ 1");
+    BOOST_TEST(it.outcome(1) == "busy");
+    it.post(configuration_changed{known});
+    it.query(1, verb::read, "READ 1");
+    BOOST_TEST(!it.reply(1));
+}
+
 BOOST_AUTO_TEST_SUITE(and_begins_a_transaction)
 
 // Guards against a member connection that an empty transaction holds.
