Take no statement when a shutdown leaves no time for it

For the last 2 s of the grace new statements outside of transactions are now refused as busy. The test fails without the change.

--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -1,5 +1,6 @@
 #include "run.hpp"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
@@ -27,6 +28,8 @@
 constexpr std::chrono::milliseconds balancer_delay{2300};
 /// Left of the grace for the end of the process.
 constexpr std::chrono::milliseconds exit_margin{500};
+/// Left of the grace for the last statements and the end of the process.
+constexpr std::chrono::milliseconds last_statements{2000};
 
 void keep_ticking(app& it, const std::shared_ptr<core::timer>& t)
 {
@@ -76,6 +79,14 @@
         });
 }
 
+void apply_settings(const host_settings& from, pooler::pooler_settings& to)
+{
+    to.data_centre = from.data_centre;
+    to.shutdown_transactions = from.grace / 2;
+    to.shutdown_statements =
+        std::max(from.grace - last_statements, from.grace / 2);
+}
+
 gateway::admin_response readiness_of(app& it)
 {
     const bool ready = it.ready;
@@ -119,7 +130,7 @@
 core::result<std::monostate> start(app& it)
 {
     it.metrics = telemetry::make_metrics();
-    it.decisions.state.settings.data_centre = it.settings.data_centre;
+    detail::apply_settings(it.settings, it.decisions.state.settings);
     auto http = detail::start_http(it);
     if (!ok(http))
         return http;
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -71,6 +71,8 @@
     std::size_t most_backlog = 16;
     /// At a shutdown, open transactions have this long to end.
     std::chrono::milliseconds shutdown_transactions{2500};
+    /// Later than this, a shutdown leaves no time for a new statement.
+    std::chrono::milliseconds shutdown_statements{4000};
 };
 
 struct prepared_statement
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -149,6 +149,13 @@
     return all.in_force.version > 0;
 }
 
+/// Whether a shutdown leaves no time for a new statement.
+bool is_closing(const context& in)
+{
+    return in.all.shutdown_since && in.now - *in.all.shutdown_since >=
+                                        in.all.settings.shutdown_statements;
+}
+
 bool needs_route(verb it)
 {
     return it != verb::set && it != verb::prepare && it != verb::deallocate;
@@ -172,6 +179,10 @@
     s.current.emplace();
     s.current->what = std::move(what);
     s.current->arrived = in.now;
+    if (is_closing(in) && s.in.phase == transaction_phase::none)
+        return answer_locally(
+            in, number,
+            failure{failure_code::busy, "this host is about to stop"});
     if (!is_configured(in.all) && needs_route(s.current->what.what.kind))
         return answer_locally(
             in, number,
--- a/libs/pooler/test/sessions_test.cpp
+++ b/libs/pooler/test/sessions_test.cpp
@@ -257,6 +257,21 @@
     BOOST_TEST(open_sessions(all) == 0U);
 }
 
+// Guards against a statement that is taken shortly before the process ends and
+// loses its answer (trouble-2 --seed 205629482380 of kalima-pool-grown).
+BOOST_FIXTURE_TEST_CASE(takes_no_statement_shortly_before_its_end, world)
+{
+    start(1, "newest");
+    post(shutdown_started{});
+    now += all.settings.shutdown_statements - 1ms;
+    query(1, verb::write, "WRITE 1 x");
+    succeed(sent().connection, {1, 6}, session_state::idle, "s");
+    now += 1ms;
+    query(1, verb::write, "WRITE 2 x");
+    BOOST_TEST(outcome(1) == "busy");
+    BOOST_TEST(!first_of<send_to_member>());
+}
+
 BOOST_FIXTURE_TEST_CASE(lets_open_transactions_end_within_their_time, world)
 {
     start(1, "newest");
