--- a/libs/pooler/test/failures_test.cpp
+++ b/libs/pooler/test/failures_test.cpp
@@ -54,12 +54,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_commit_of_writes_is_in_doubt, world)
 {
-    start(1, "newest");
-    query(1, verb::begin);
-    query(1, verb::write, "WRITE 1 x");
-    const auto c = sent().connection;
-    succeed(c, {1, 5}, session_state::in_transaction);
-    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    const auto c = open_transaction(1);
     query(1, verb::commit);
     post(member_lost{c, std::nullopt, "reset"});
     BOOST_TEST(outcome(1) == "in doubt");
--- a/libs/pooler/test/fixture.hpp
+++ b/libs/pooler/test/fixture.hpp
@@ -236,6 +236,21 @@
                              {{}, failure{code, "member"}, left, {}}});
     }
 
+    /// Starts a session whose transaction has written; returns the connection
+    /// that it holds.
+    connection_number open_transaction(session_number session,
+                                       const std::string& database = "newest")
+    {
+        start(session, database);
+        query(session, verb::begin);
+        query(session, verb::write, "WRITE 1 x");
+        const auto c = sent().connection;
+        succeed(c, {1, 5}, session_state::in_transaction);
+        succeed(c, {1, 5}, session_state::in_transaction, "signed");
+        BOOST_REQUIRE_EQUAL(outcome(session), "success");
+        return c;
+    }
+
     /// Runs a read of the newest data, which teaches the host the position of
     /// the primary.
     void read_newest(session_number session, core::log_position at)
--- a/libs/pooler/test/placement_test.cpp
+++ b/libs/pooler/test/placement_test.cpp
@@ -139,12 +139,7 @@
 
 BOOST_FIXTURE_TEST_CASE(a_transaction_that_is_open_goes_before_new_work, world)
 {
-    start(1, "own");
-    query(1, verb::begin);
-    query(1, verb::write, "WRITE 1 x");
-    const auto c = sent().connection;
-    succeed(c, {1, 5}, session_state::in_transaction);
-    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    const auto c = open_transaction(1, "own");
     for (session_number n = 2; n < 12; ++n)
     {
         start(n, "newest");
--- a/libs/pooler/test/sessions_test.cpp
+++ b/libs/pooler/test/sessions_test.cpp
@@ -88,12 +88,7 @@
 BOOST_FIXTURE_TEST_CASE(learns_of_a_lost_connection_with_its_next_statement,
                         world)
 {
-    start(1, "newest");
-    query(1, verb::begin);
-    query(1, verb::write, "WRITE 1 x");
-    const auto c = sent().connection;
-    succeed(c, {1, 5}, session_state::in_transaction);
-    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    const auto c = open_transaction(1);
     post(member_lost{c, std::nullopt, "reset"});
     BOOST_TEST(!reply(1));
     query(1, verb::write, "WRITE 2 y");
@@ -121,12 +116,7 @@
 
 BOOST_FIXTURE_TEST_CASE(gives_its_connection_back_when_it_leaves, world)
 {
-    start(1, "newest");
-    query(1, verb::begin);
-    query(1, verb::write, "WRITE 1 x");
-    const auto c = sent().connection;
-    succeed(c, {1, 5}, session_state::in_transaction);
-    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    const auto c = open_transaction(1);
     post(caller_gone{1});
     BOOST_TEST((sent().statements.front().what.kind == verb::rollback));
     succeed(c, {1, 5});
@@ -274,12 +264,7 @@
 
 BOOST_FIXTURE_TEST_CASE(lets_open_transactions_end_within_their_time, world)
 {
-    start(1, "newest");
-    query(1, verb::begin);
-    query(1, verb::write, "WRITE 1 x");
-    const auto c = sent().connection;
-    succeed(c, {1, 5}, session_state::in_transaction);
-    succeed(c, {1, 5}, session_state::in_transaction, "s");
+    const auto c = open_transaction(1);
     post(shutdown_started{});
     wait(2s);
     BOOST_TEST(open_sessions(all) == 1U);
--- a/test/pooled/member_standin.cpp
+++ b/test/pooled/member_standin.cpp
@@ -188,7 +188,6 @@
         {
             if (ec)
                 return;
-            ++m.connections;
             const auto s = std::make_shared<member_session>();
             stream::handlers on;
             on.received = [&m, s](std::string_view line)
--- a/test/pooled/member_standin.hpp
+++ b/test/pooled/member_standin.hpp
@@ -37,7 +37,6 @@
     bool dark = false;
     /// Runs the next write and breaks the connection without an answer.
     bool lose_next_write = false;
-    unsigned connections = 0;
 
     boost::asio::ip::tcp::acceptor acceptor;
     std::string group;
--- a/test/pooled/store_standin.hpp
+++ b/test/pooled/store_standin.hpp
@@ -40,7 +40,6 @@
     bool history_lost = false;
     std::function<void(const std::string& group, const std::string& id)>
         promoted;
-    std::map<std::string, std::uint64_t> tokens;
 
     struct waiting_call
     {
