--- a/test/pooled/member_standin.cpp
+++ b/test/pooled/member_standin.cpp
@@ -189,14 +189,15 @@
             if (ec)
                 return;
             const auto s = std::make_shared<member_session>();
+            m.sessions.push_back(s);
+            const std::weak_ptr<member_session> seen = s;
             stream::handlers on;
-            on.received = [&m, s](std::string_view line)
+            on.received = [&m, seen](std::string_view line)
             {
-                take_line(m, s, line);
+                if (const auto it = seen.lock())
+                    take_line(m, it, line);
             };
-            on.closed = [s](const std::string&)
-            {
-                s->link.reset();
+            on.closed = [](const std::string&) {
             };
             s->link = stream::adopt(std::move(socket), std::move(on));
             stream::start(s->link);
