Stop the store stand-in at the end of its tests

Its sessions and waiting calls referred to each other; AddressSanitizer reported 92,710 bytes leaked at the end of pooled_test.

--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -94,7 +94,7 @@
     store_standin store{io};
     std::vector<std::unique_ptr<member_standin>> members;
     std::unique_ptr<pooled> host;
-    std::thread standins;
+    std::thread standin_thread;
     std::thread proxy;
     std::uint16_t port = free_port();
 
@@ -113,7 +113,7 @@
             register_member(*members.back());
         }
         configure(1);
-        standins = std::thread([this] { io.run(); });
+        standin_thread = std::thread([this] { io.run(); });
         proxy::pooled::host_settings settings;
         settings.name = {"host-1"};
         settings.data_centre = {"north"};
@@ -134,8 +134,16 @@
     {
         host->io.stop();
         proxy.join();
+        at_standins(
+            [this]
+            {
+                store.waiting.clear();
+                godwitbarrow::standins::stop(store.server);
+            });
+        // Lets the handlers of the closed sessions run.
+        at_standins([] {});
         io.stop();
-        standins.join();
+        standin_thread.join();
     }
 
     std::size_t member_count()
