--- a/apps/proxy/src/lifecycle.cpp
+++ b/apps/proxy/src/lifecycle.cpp
@@ -108,6 +108,8 @@
                                " is not in the settings; add a section [host." +
                                it.self.value +
                                "] or start with another --host"};
+    // Other workers handle messages of peers as soon as the host listens.
+    prepare_membership(it);
     auto done =
         listen_to_peers(it, {host->second.address, host->second.peer_port});
     if (ok(done))
--- a/apps/proxy/src/membership_runner.cpp
+++ b/apps/proxy/src/membership_runner.cpp
@@ -181,7 +181,7 @@
         std::visit([&](const auto& n) { detail::perform_one(it, n); }, action);
 }
 
-void start_membership(app& it)
+void prepare_membership(app& it)
 {
     const auto settings = current_settings(it);
     std::vector<membership::host_entry> seeds;
@@ -194,11 +194,16 @@
         else
             seeds.push_back(std::move(n));
     }
+    std::lock_guard lock(it.hosts.mutex);
+    it.hosts.membership =
+        membership::make_state(self, seeds, core::runtime_clock::now());
+}
+
+void start_membership(app& it)
+{
     std::chrono::milliseconds interval{0};
     {
         std::lock_guard lock(it.hosts.mutex);
-        it.hosts.membership =
-            membership::make_state(self, seeds, core::runtime_clock::now());
         interval = it.hosts.membership.bounds.tick_interval;
     }
     post(it, membership::tick{});
--- a/apps/proxy/src/membership_runner.hpp
+++ b/apps/proxy/src/membership_runner.hpp
@@ -8,7 +8,11 @@
 
 void post(app& it, const membership::event& what);
 
-/// Starts the ticks. Needs the settings.
+/// Fills the host table from the settings in effect. Events that are posted
+/// before have no effect.
+void prepare_membership(app& it);
+
+/// Starts the ticks. Needs `prepare_membership`.
 void start_membership(app& it);
 
 }  // namespace godwitbarrow::proxy
--- a/libs/membership/include/godwitbarrow/membership/decide.hpp
+++ b/libs/membership/include/godwitbarrow/membership/decide.hpp
@@ -11,7 +11,8 @@
 {
 
 /// Applies one event and returns what the caller has to do, in order. Needs a
-/// `tick` at least every `limits::tick_interval`.
+/// `tick` at least every `limits::tick_interval`. A state that `make_state` has
+/// not filled ignores all events.
 std::vector<action> decide(state& it, const event& what, core::time_point now);
 
 /// A state that knows only this host and the peers named in the settings.
--- a/libs/membership/src/decide.cpp
+++ b/libs/membership/src/decide.cpp
@@ -111,6 +111,9 @@
 std::vector<action> decide(state& it, const event& what, core::time_point now)
 {
     std::vector<action> out;
+    // Peers may connect while this host is still starting.
+    if (it.self.host.value.empty())
+        return out;
     step at{it, now, out};
     std::visit([&](const auto& e) { apply(at, e); }, what);
     detail::push_news(at);
--- a/libs/membership/test/decide_test.cpp
+++ b/libs/membership/test/decide_test.cpp
@@ -95,6 +95,29 @@
 
 }  // namespace
 
+BOOST_AUTO_TEST_SUITE(a_host_starts)
+
+// Guards against the end of a process whose listener is open before its host
+// table is filled: a summary of a peer then found no report of the host.
+BOOST_AUTO_TEST_CASE(and_ignores_peers_until_it_knows_itself)
+{
+    state it;
+    const core::time_point now{1000s};
+    const core::host_id peer{"entry-1"};
+    BOOST_TEST(decide(it, summary_received{peer, {}}, now).empty());
+    BOOST_TEST(decide(it, request_received{peer, {}}, now).empty());
+    BOOST_TEST(decide(it, news_received{peer, {}}, now).empty());
+    BOOST_TEST(decide(it, link_changed{peer, true}, now).empty());
+    BOOST_TEST(decide(it, tick{}, now).empty());
+
+    host_entry self;
+    self.host = {"entry-2"};
+    it = make_state(self, {}, now);
+    BOOST_TEST(!decide(it, summary_received{peer, {}}, now).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_fleet_that_knows_its_hosts)
 
 BOOST_AUTO_TEST_SUITE(spreads_a_change_to_every_host)
