Take no pause of the host itself for the service time of a member

Cause: the first statements after a freeze carried the pause as the time that the member held them. The estimated wait then exceeded a quarter of the objective, and work was refused that a member could have run.

The time between two events while statements run is at most a tick of 25 ms; after a gap of 150 ms, times that began before it are not measured. placement_test (after_the_host_stood_still) failed without the change.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -42,6 +42,10 @@
     std::chrono::milliseconds idle_limit{2000};
     /// A statement waits for a member for its objective divided by this.
     int wait_divisor = 4;
+    /// Events are at most a tick of 25 ms apart while statements wait or run.
+    /// After a longer silence the host itself stood still, and times that
+    /// began before say nothing about members.
+    std::chrono::milliseconds stall_limit{150};
     /// Attempts to run one statement that no member has run yet.
     unsigned most_attempts = 6;
     /// Taken off the age of data that a route allows, for the time between the
@@ -235,6 +239,9 @@
     std::map<std::string, std::string> shapes;
     /// Sessions with a current statement.
     std::set<session_number> active;
+    core::time_point last_event{};
+    /// When this host last stood still.
+    core::time_point stalled{};
     std::optional<core::time_point> shutdown_since;
 };
 
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -149,6 +149,13 @@
     }
 }
 
+void note_stall(state& it, core::time_point now)
+{
+    if (!it.active.empty() && now - it.last_event >= it.settings.stall_limit)
+        it.stalled = now;
+    it.last_event = now;
+}
+
 struct visitor
 {
     context& in;
@@ -212,6 +219,7 @@
 
 actions decide(state& it, const event& what, core::time_point now)
 {
+    detail::note_stall(it, now);
     detail::context in{it, now, {}};
     std::visit(detail::visitor{in}, what);
     return std::move(in.out);
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -308,7 +308,8 @@
         return;
     p.counted = false;
     std::optional<core::duration> held;
-    if (measured && c != in.all.connections.end())
+    if (measured && c != in.all.connections.end() &&
+        c->second.since >= in.all.stalled)
         held = in.now - c->second.since;
     admission::release_slot(queue_of(g->second, p), s.by.importance, held);
 }
--- a/libs/pooler/test/placement_test.cpp
+++ b/libs/pooler/test/placement_test.cpp
@@ -242,3 +242,27 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(after_the_host_stood_still)
+
+// Replays the first statements after a freeze of 700 ms. Guards against taking
+// the pause for the service time of the member: the queue then looked too long
+// for the objective, and work was refused that a member could have run.
+BOOST_FIXTURE_TEST_CASE(work_is_not_refused_for_the_pause, world)
+{
+    post(hosts_counted{4});
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    now += 700ms;
+    succeed(c, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(outcome(1) == "success");
+    for (session_number n = 2; n <= 5; ++n)
+    {
+        start(n, "newest");
+        query(n, verb::write, "WRITE 1 x");
+        BOOST_TEST(outcome(n) == "none");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
