--- a/apps/proxy/src/pooled/member_question.cpp
+++ b/apps/proxy/src/pooled/member_question.cpp
@@ -80,7 +80,8 @@
 {
     const auto q = std::make_shared<detail::question>(it.io);
     q->handler = std::move(handler);
-    q->first = platform::encode_startup(member.group, member.server);
+    q->first =
+        platform::encode_startup(member.group, member.server, it.settings.name);
     if (pause_at)
     {
         q->then = platform::encode_pause(*pause_at);
--- a/apps/proxy/src/pooled/members.cpp
+++ b/apps/proxy/src/pooled/members.cpp
@@ -85,7 +85,8 @@
     auto connected = [&it, number, group = what.group, server = what.server]
     {
         if (const auto c = detail::find_member(it, number))
-            stream::send(c, platform::encode_startup(group, server));
+            stream::send(
+                c, platform::encode_startup(group, server, it.settings.name));
     };
     const auto c = stream::connect(it.io.get_executor(), what.address,
                                    detail::connect_timeout,
