Give the store stand-in faults, fencing and held calls that end

It can be down, slow, lose the answers of changes and carry them out late, checks fencing tokens, and ends a held call when its time is up.

--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -102,9 +102,10 @@
     {
         telemetry::start_logging(telemetry::log_level::error);
         data->primary = "a";
-        store.promoted = [this](const std::string&, const std::string& id)
+        store.promoted = [this](const promotion_call& call)
         {
-            promote(id);
+            promote(call.server);
+            return true;
         };
         for (const auto* id : {"a", "b", "c"})
         {
@@ -323,7 +324,7 @@
 
 BOOST_FIXTURE_TEST_CASE(serves_on_with_what_it_knows, deployment)
 {
-    at_standins([&] { store.down = true; });
+    at_standins([&] { store.faults.down = true; });
     caller it(port, "newest");
     it.line();
     BOOST_TEST(it.query("WRITE 1 x") == "DONE sig | READY I -");
--- a/test/pooled/store_standin.cpp
+++ b/test/pooled/store_standin.cpp
@@ -1,8 +1,11 @@
 #include "store_standin.hpp"
 
+#include <algorithm>
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
 
+#include "godwitbarrow/core/clock.hpp"
+
 namespace godwitbarrow::test
 {
 namespace detail
@@ -39,14 +42,21 @@
     return out;
 }
 
+std::int64_t store_time()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               core::runtime_clock::now().time_since_epoch())
+        .count();
+}
+
 void answer_rows(store_standin& s, const standins::http_session_ptr& to,
                  json::array rows)
 {
     const json::object body{{"rows", std::move(rows)},
                             {"has_more", false},
                             {"ver", s.version},
-                            {"now_ms", 50000 + s.version}};
-    standins::reply(to, {200, json::serialize(body), false});
+                            {"now_ms", store_time()}};
+    standins::reply(to, {200, json::serialize(body), false}, s.faults.delay);
 }
 
 /// Rows that changed after a version, the oldest first.
@@ -81,8 +91,7 @@
     return std::string(from.at(key).as_string());
 }
 
-void run_transaction(store_standin& s, const standins::http_session_ptr& to,
-                     const std::string& body)
+standins::http_reply run_transaction(store_standin& s, const std::string& body)
 {
     const auto call = json::parse(body);
     for (const auto& it : call.at("precondition").as_array())
@@ -91,15 +100,15 @@
         const auto row = table.find(text_of(it, "key"));
         const auto found = row == table.end() ? 0 : row->second.version;
         if (found != it.at("ver").to_number<std::uint64_t>())
-            return standins::reply(to, {412, "{\"rows\":[]}", false});
+            return {412, "{\"rows\":[]}", false};
     }
     ++s.version;
     for (const auto& it : call.at("puts").as_array())
         s.tables[text_of(it, "table")][text_of(it, "key")] = {
             decode(text_of(it, "value")), s.version, false};
-    const json::object out{{"ver", s.version}, {"now_ms", 50000 + s.version}};
-    standins::reply(to, {200, json::serialize(out), false});
     wake(s);
+    const json::object out{{"ver", s.version}, {"now_ms", store_time()}};
+    return {200, json::serialize(out), false};
 }
 
 void list_rows(store_standin& s, const standins::http_session_ptr& to,
@@ -114,36 +123,85 @@
     answer_rows(s, to, std::move(rows));
 }
 
+void end_wait(store_standin& s, std::uint64_t number)
+{
+    const auto it =
+        std::find_if(s.waiting.begin(), s.waiting.end(),
+                     [&](const auto& n) { return n.number == number; });
+    if (it == s.waiting.end())
+        return;
+    const auto to = it->session;
+    s.waiting.erase(it);
+    answer_rows(s, to, {});
+}
+
 void watch_rows(store_standin& s, const standins::http_session_ptr& to,
                 const standins::http_request& req)
 {
     if (std::exchange(s.history_lost, false))
         return standins::reply(to, {410, "{}", false});
-    s.waiting.push_back(
-        {to, req.query.at("table"), std::stoull(req.query.at("after"))});
+    const auto number = ++s.last_call;
+    s.waiting.push_back({to, req.query.at("table"),
+                         std::stoull(req.query.at("after")), number});
     wake(s);
+    const std::chrono::milliseconds wait(std::stoul(req.query.at("wait_ms")));
+    standins::call_after(s.executor, wait,
+                         [&s, number] { end_wait(s, number); });
+}
+
+standins::http_reply run_promotion(store_standin& s,
+                                   const standins::http_request& req)
+{
+    const auto body = json::parse(req.body);
+    const promotion_call call{
+        text_of(body, "service"), text_of(body, "id"),
+        req.headers.at("x-godwitbarrow-lease-holder"),
+        std::stoull(req.headers.at("x-godwitbarrow-fence-token"))};
+    auto& highest = s.tokens[call.group];
+    if (call.token < highest)
+        return {409, "{}", false};
+    highest = call.token;
+    return {s.promoted(call) ? 200U : 409U, "{}", false};
+}
+
+standins::http_reply run_change(store_standin& s,
+                                const standins::http_request& req)
+{
+    if (req.path == "/rows-tx")
+        return run_transaction(s, req.body);
+    return run_promotion(s, req);
+}
+
+/// Whether this change gets no answer; spread evenly over changes.
+bool is_lost(store_standin& s)
+{
+    s.lost_counter += s.faults.lost_percent;
+    if (s.lost_counter < 100)
+        return false;
+    s.lost_counter -= 100;
+    return true;
 }
 
 void serve(store_standin& s, const standins::http_session_ptr& to,
            const standins::http_request& req)
 {
-    if (s.down)
+    if (s.faults.down)
         return standins::reply(to, {503, "{}", false});
     if (req.path == "/rows-get")
         return list_rows(s, to, req);
     if (req.path == "/rows-feed")
         return watch_rows(s, to, req);
-    if (req.path == "/rows-tx")
-        return run_transaction(s, to, req.body);
-    const auto body = json::parse(req.body);
-    s.promoted(text_of(body, "service"), text_of(body, "id"));
-    standins::reply(to, {200, "{}", false});
+    if (!is_lost(s))
+        return standins::reply(to, run_change(s, req), s.faults.delay);
+    standins::call_after(s.executor, s.faults.late,
+                         [&s, req] { run_change(s, req); });
 }
 
 }  // namespace
 }  // namespace detail
 
 store_standin::store_standin(boost::asio::io_context& io)
+    : executor(io.get_executor())
 {
     standins::http_hooks hooks;
     hooks.on_request = [this](const standins::http_session_ptr& to,
--- a/test/pooled/store_standin.hpp
+++ b/test/pooled/store_standin.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <string>
@@ -20,6 +21,26 @@
     bool deleted = false;
 };
 
+/// One call for a promotion.
+struct promotion_call
+{
+    std::string group;
+    std::string server;
+    std::string holder;
+    std::uint64_t token = 0;
+};
+
+struct store_faults
+{
+    /// Answers every call with 503.
+    bool down = false;
+    std::chrono::milliseconds delay{0};
+    /// Of the writes and promotions; they are done and not answered.
+    unsigned lost_percent = 0;
+    /// Calls whose answer is lost are done this much later.
+    std::chrono::milliseconds late{0};
+};
+
 struct store_standin
 {
     explicit store_standin(boost::asio::io_context& io);
@@ -34,20 +55,25 @@
              const std::string& value);
     void remove(const std::string& table, const std::string& key);
 
-    /// Answers every call with 503.
-    bool down = false;
+    store_faults faults;
     /// The next call fails with 410, as after a loss of the history.
     bool history_lost = false;
-    std::function<void(const std::string& group, const std::string& id)>
-        promoted;
+    /// Orders a promotion; false if the member does not run.
+    std::function<bool(const promotion_call&)> promoted;
+    /// The highest fencing token seen for each group.
+    std::map<std::string, std::uint64_t> tokens;
+    unsigned lost_counter = 0;
 
     struct waiting_call
     {
         standins::http_session_ptr session;
         std::string table;
         std::uint64_t after = 0;
+        std::uint64_t number = 0;
     };
+    std::uint64_t last_call = 0;
 
+    boost::asio::any_io_executor executor;
     std::uint64_t version = 0;
     std::map<std::string, std::map<std::string, store_row>> tables;
     std::vector<waiting_call> waiting;
--- a/test/standins/include/godwitbarrow/standins/http_server.hpp
+++ b/test/standins/include/godwitbarrow/standins/http_server.hpp
@@ -18,6 +18,8 @@
     std::string verb;
     std::string path;
     std::map<std::string, std::string> query;
+    /// By name in lower case.
+    std::map<std::string, std::string> headers;
     std::string body;
 };
 
--- a/test/standins/src/http_server.cpp
+++ b/test/standins/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "godwitbarrow/standins/http_server.hpp"
 
 #include <array>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -106,6 +107,9 @@
     r.path = target.substr(0, mark);
     if (mark != std::string::npos)
         r.query = parse_query(std::string_view(target).substr(mark + 1));
+    for (const auto& field : message)
+        r.headers[boost::algorithm::to_lower_copy(
+            std::string(field.name_string()))] = std::string(field.value());
     r.body = std::move(message.body());
     return r;
 }
