--- a/test/scenarios/src/cluster.cpp
+++ b/test/scenarios/src/cluster.cpp
@@ -276,19 +276,6 @@
     return std::monostate();
 }
 
-std::vector<std::string> find_sanitizer_reports(const cluster& it)
-{
-    std::vector<std::string> found;
-    for (const auto& n : detail::fs::directory_iterator(it.options.work_folder))
-    {
-        std::ifstream in(n.path());
-        for (std::string line; std::getline(in, line);)
-            if (line.find("Sanitizer: ") != std::string::npos)
-                found.push_back(n.path().string() + ": " + line);
-    }
-    return found;
-}
-
 void end_all(cluster& it)
 {
     for (auto& n : it.hosts)
--- a/test/scenarios/src/cluster.hpp
+++ b/test/scenarios/src/cluster.hpp
@@ -77,9 +77,6 @@
 core::result<std::monostate> set_faults(const core::endpoint& to,
                                         const std::string& faults);
 
-/// Log files that hold a report of a sanitizer.
-std::vector<std::string> find_sanitizer_reports(const cluster& it);
-
 void end_all(cluster& it);
 
 }  // namespace scenario
--- a/test/scenarios/src/main.cpp
+++ b/test/scenarios/src/main.cpp
@@ -95,7 +95,8 @@
     auto failed = run(story, it);
     scenario::stop_loads(it);
     scenario::end_all(it.processes);
-    for (const auto& n : scenario::find_sanitizer_reports(it.processes))
+    for (const auto& n :
+         scenario::find_fault_reports(it.processes.options.work_folder))
     {
         std::printf("FAILED %s\n", n.c_str());
         ++failed;
--- a/test/scenarios/src/processes.cpp
+++ b/test/scenarios/src/processes.cpp
@@ -9,6 +9,8 @@
 
 #include <csignal>
 #include <cstring>
+#include <filesystem>
+#include <fstream>
 
 // The environment of the runner; POSIX leaves its declaration to the program.
 extern char** environ;  // NOLINT(readability-redundant-declaration)
@@ -87,4 +89,18 @@
     it.id = 0;
 }
 
+std::vector<std::string> find_fault_reports(const std::string& folder)
+{
+    std::vector<std::string> found;
+    for (const auto& n : std::filesystem::directory_iterator(folder))
+    {
+        std::ifstream in(n.path());
+        for (std::string line; std::getline(in, line);)
+            if (line.find("Sanitizer: ") != std::string::npos ||
+                line.rfind("terminate called", 0) == 0)
+                found.push_back(n.path().string() + ": " + line);
+    }
+    return found;
+}
+
 }  // namespace scenario
--- a/test/scenarios/src/processes.hpp
+++ b/test/scenarios/src/processes.hpp
@@ -37,4 +37,8 @@
 /// Ends the process at once and waits for it.
 void end_process(process& it);
 
+/// Lines of log files in the folder that report a fault of a sanitizer or an
+/// exception that ended the process.
+std::vector<std::string> find_fault_reports(const std::string& folder);
+
 }  // namespace scenario
