--- a/test/model/test/oracle_test.cpp
+++ b/test/model/test/oracle_test.cpp
@@ -188,6 +188,17 @@
     BOOST_TEST(broken("session values"));
 }
 
+// A statement that was given up may run after its caller set other values.
+BOOST_AUTO_TEST_CASE(allows_the_values_of_the_time_when_it_was_sent)
+{
+    const auto q = ask(1, verb::read, "READ 1");
+    tell(1, {{}, pooler::failure{pooler::failure_code::timed_out, {}}, {}, {}});
+    ask(1, verb::set, "utf8", "encoding");
+    tell_locally(1, pooler::session_state::idle);
+    run_on(on_a, q);
+    BOOST_TEST(judge.violations.empty());
+}
+
 BOOST_AUTO_TEST_CASE(finds_another_shape_of_a_prepared_statement)
 {
     ask(1, verb::prepare, "q2c", "s1");
