Bound the shapes of prepared statements that a host remembers

Callers choose the shapes, so the table grew without a bound over the life of a process. Beyond 4,096 shapes, a statement gets a name of its own, which costs a preparation on each connection that it reaches. sessions_test (remembers_a_bounded_number_of_shapes) covers it.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -73,6 +73,8 @@
     std::chrono::milliseconds shutdown_idle{50};
     /// Statements of one session that wait for an earlier one.
     std::size_t most_backlog = 16;
+    /// Shapes of prepared statements whose names callers share.
+    std::size_t most_shapes = 4096;
     /// At a shutdown, open transactions have this long to end.
     std::chrono::milliseconds shutdown_transactions{2500};
     /// Later than this, a shutdown leaves no time for a new statement.
@@ -235,8 +237,11 @@
     std::unordered_map<session_number, caller_session> sessions;
     std::unordered_map<connection_number, backend_connection> connections;
     connection_number last_connection = 0;
-    /// Names of prepared statements on members, by access and shape.
+    /// Names of prepared statements on members, by access and shape. Callers
+    /// choose the shapes, so their number is bounded; those beyond the bound
+    /// get names of their own.
     std::map<std::string, std::string> shapes;
+    std::uint64_t last_shape = 0;
     /// Sessions with a current statement.
     std::set<session_number> active;
     core::time_point last_event{};
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -25,7 +25,9 @@
     const auto it = all.shapes.find(key);
     if (it != all.shapes.end())
         return it->second;
-    auto name = "p" + std::to_string(all.shapes.size() + 1);
+    auto name = "p" + std::to_string(++all.last_shape);
+    if (all.shapes.size() >= all.settings.most_shapes)
+        return name;
     return all.shapes.emplace(key, std::move(name)).first->second;
 }
 
--- a/libs/pooler/test/sessions_test.cpp
+++ b/libs/pooler/test/sessions_test.cpp
@@ -182,6 +182,22 @@
                first.statements.back().what.name);
 }
 
+// Guards against memory that grows with the shapes that callers invent, and
+// against two shapes under one name.
+BOOST_FIXTURE_TEST_CASE(remembers_a_bounded_number_of_shapes, world)
+{
+    all.settings.most_shapes = 2;
+    start(1, "newest");
+    std::set<std::string> names;
+    for (int n = 0; n < 6; ++n)
+    {
+        query(1, verb::prepare, "shape-" + std::to_string(n), "s1");
+        names.insert(all.sessions.at(1).prepared.at("s1").member_name);
+    }
+    BOOST_TEST(all.shapes.size() == 2U);
+    BOOST_TEST(names.size() == 6U);
+}
+
 BOOST_FIXTURE_TEST_CASE(prepares_again_what_the_member_has_forgotten, world)
 {
     start(1, "newest");
