Vote on an unreachable primary in rows of each host's own

All votes were in one row under a condition, so of 32 hosts one vote was taken for each read and write of the row, and half of the hosts had to vote within 2.5 s.

Each host now writes its vote in a row of its own. The threshold is what the hosts lose: a primary is replaced once they have been without it for longer, on average, than a promotion takes from them. So one that no host reaches is replaced at once, one that half of them miss after a second, and one that 4 of 32 miss is left alone until the limit of 2.5 s, which stays. Claims keep their row and their tokens.

Ruled out: waiting for the replicas or the promotion (0.09 s and 0.6 s).

--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -47,6 +47,44 @@
     return link;
 }
 
+void log_unreadable(const group_id& group, const std::string& key,
+                    const core::error& why)
+{
+    telemetry::log_event(
+        telemetry::log_level::error, "takeover row not used",
+        {{"group", group}, {"row", key}, {"reason", why.message}});
+}
+
+/// Votes have the key of their group, the separator and the name of the host.
+constexpr char vote_separator = '/';
+/// The first key after those of all votes of a group.
+constexpr char after_votes = vote_separator + 1;
+
+std::string vote_prefix(const group_id& group)
+{
+    return group.value + vote_separator;
+}
+
+void take_claim(takeover::rows_read& out, const group_id& group,
+                const platform::row& row)
+{
+    out.version = row.version;
+    const auto decoded = takeover::decode_claim(row.value);
+    if (const auto* e = std::get_if<core::error>(&decoded))
+        return log_unreadable(group, row.key, *e);
+    out.last = std::get<takeover::claim>(decoded);
+}
+
+void take_vote(takeover::rows_read& out, const group_id& group,
+               const platform::row& row)
+{
+    const auto decoded = takeover::decode_vote(row.value);
+    if (const auto* e = std::get_if<core::error>(&decoded))
+        return log_unreadable(group, row.key, *e);
+    out.votes[{row.key.substr(vote_prefix(group).size())}] =
+        std::get<takeover::vote>(decoded);
+}
+
 takeover::event as_read(const group_id& group, const http::exchange_result& got)
 {
     const auto* a = std::get_if<http::answer>(&got);
@@ -56,21 +94,14 @@
     if (!ok(parsed))
         return takeover::store_failed{};
     const auto& page = std::get<platform::row_page>(parsed);
-    takeover::row_read out;
+    takeover::rows_read out;
     out.store_time = page.store_time;
+    // Keys of other groups whose names continue this one may be between.
     for (const auto& row : page.rows)
-    {
-        if (row.key != group.value)
-            continue;
-        out.version = row.version;
-        const auto decoded = takeover::decode(row.value);
-        if (const auto* e = std::get_if<core::error>(&decoded))
-            telemetry::log_event(telemetry::log_level::error,
-                                 "takeover row not used",
-                                 {{"group", group}, {"reason", e->message}});
-        else
-            out.what = std::get<takeover::row>(decoded);
-    }
+        if (row.key == group.value)
+            take_claim(out, group, row);
+        else if (row.key.rfind(vote_prefix(group), 0) == 0)
+            take_vote(out, group, row);
     return out;
 }
 
@@ -124,27 +155,40 @@
     app& in;
     const group_id& group;
 
-    void operator()(const takeover::read_row&) const
+    void operator()(const takeover::read_rows&) const
     {
         call_service(in, link_of(in, group, false),
-                     platform::read_row(takeover_table_name, group.value),
+                     platform::list_rows(takeover_table_name, group.value,
+                                         group.value + after_votes),
                      store_limit,
                      [&it = in, g = group](const http::exchange_result& got)
                      { advance(it, g, as_read(g, got)); });
     }
 
-    void operator()(const takeover::write_row& a) const
+    void write(std::string key, std::string value,
+               std::optional<std::uint64_t> expected) const
     {
         platform::row row;
         row.table = takeover_table_name;
-        row.key = group.value;
-        row.value = takeover::encode(a.what);
+        row.key = std::move(key);
+        row.value = std::move(value);
         call_service(in, link_of(in, group, false),
-                     platform::write_row(row, a.expected), store_limit,
+                     platform::write_row(row, expected), store_limit,
                      [&it = in, g = group](const http::exchange_result& got)
                      { advance(it, g, as_written(got)); });
     }
 
+    void operator()(const takeover::write_claim& a) const
+    {
+        write(group.value, takeover::encode(a.what), a.expected);
+    }
+
+    void operator()(const takeover::write_vote& a) const
+    {
+        write(vote_prefix(group) + in.settings.name.value,
+              takeover::encode(a.what), std::nullopt);
+    }
+
     void operator()(const takeover::ask_member& a) const
     {
         const auto about = find_registration(in, group, a.server);
@@ -208,6 +252,9 @@
         takeover::group_view view;
         view.primary = seen.server;
         view.unreachable = seen.unreachable;
+        view.unreachable_for =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                seen.unreachable_for);
         view.leaving = seen.leaving;
         view.live_hosts = all.live_hosts;
         view.synchronous_replicas = g.settings.synchronous_replicas;
--- a/libs/pooler/include/godwitbarrow/pooler/decide.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/decide.hpp
@@ -17,6 +17,8 @@
     std::optional<core::server_id> server;
     /// It failed and did not answer since, or there is none for some time.
     bool unreachable = false;
+    /// How long ago it last answered, if it is unreachable.
+    core::duration unreachable_for{};
     bool leaving = false;
 };
 
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -239,15 +239,19 @@
     {
         const auto since = g->second.without_primary;
         out.unreachable = since && now - *since >= it.settings.search_limit;
+        if (out.unreachable)
+            out.unreachable_for = now - *since;
         return out;
     }
     const auto& p = m->second;
     out.server = p.about.server;
     out.leaving = p.about.leaving;
     const bool failed = p.failed && (!p.answered || *p.failed > *p.answered);
+    if (!failed)
+        return out;
+    out.unreachable_for = now - p.answered.value_or(*p.failed);
     out.unreachable =
-        failed &&
-        (!p.answered || now - *p.answered >= it.settings.unreachable_limit);
+        !p.answered || out.unreachable_for >= it.settings.unreachable_limit;
     return out;
 }
 
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -25,8 +25,13 @@
     core::host_id self;
     /// A claim of another host is left alone for this long.
     std::chrono::milliseconds claim_limit{3000};
-    /// A vote counts for this long.
-    std::chrono::milliseconds vote_limit{2500};
+    /// A vote counts for this long after it was renewed.
+    std::chrono::milliseconds vote_limit{1500};
+    std::chrono::milliseconds vote_interval{600};
+    /// About what a promotion costs each host. A primary is replaced once the
+    /// hosts have been without it for longer than that, on average: at once if
+    /// none reaches it, later the fewer do not.
+    std::chrono::milliseconds promotion_cost{500};
     /// One host alone may claim after it suspected for this long, for example
     /// because the others were killed as well.
     std::chrono::milliseconds lone_limit{2500};
@@ -44,6 +49,8 @@
     std::optional<core::server_id> primary;
     /// The primary does not answer, or there is none.
     bool unreachable = false;
+    /// How long ago the primary last answered, if it is unreachable.
+    std::chrono::milliseconds unreachable_for{0};
     /// The primary is about to leave and should be replaced before.
     bool leaving = false;
     /// All other members that may take over, and those that are leaving.
@@ -67,11 +74,14 @@
     group_view view;
 };
 
-/// Answer of the store to a read; absent if the row does not exist yet.
-struct row_read
+/// Answer of the store to a read of the group's rows.
+struct rows_read
 {
-    std::optional<row> what;
+    /// Absent if there was no claim yet.
+    std::optional<claim> last;
+    /// Version of the row of the claim; 0 if it does not exist.
     std::uint64_t version = 0;
+    std::map<core::host_id, vote> votes;
     std::chrono::milliseconds store_time{0};
 };
 
@@ -115,20 +125,26 @@
 {
 };
 
-using event = std::variant<group_seen, row_read, row_written, store_failed,
+using event = std::variant<group_seen, rows_read, row_written, store_failed,
                            member_answered, promotion_answered, time_passed>;
 
-struct read_row
+struct read_rows
 {
 };
 
-struct write_row
+struct write_claim
 {
-    row what;
+    claim what;
     /// 0 if the row must not exist.
     std::uint64_t expected = 0;
 };
 
+/// Writes the own vote whatever it was before.
+struct write_vote
+{
+    vote what;
+};
+
 struct ask_member
 {
     core::server_id server;
@@ -157,8 +173,8 @@
     std::string detail;
 };
 
-using action = std::variant<read_row, write_row, ask_member, order_promotion,
-                            primary_known, takeover_note>;
+using action = std::variant<read_rows, write_claim, write_vote, ask_member,
+                            order_promotion, primary_known, takeover_note>;
 using actions = std::vector<action>;
 
 enum class phase
@@ -184,8 +200,6 @@
     std::chrono::milliseconds pause{0};
     group_view view;
     std::optional<core::time_point> suspected_since;
-    row last_row;
-    std::uint64_t version = 0;
     std::uint64_t token = 0;
     core::time_point claimed;
     std::set<core::server_id> asked;
--- a/libs/takeover/include/godwitbarrow/takeover/row.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/row.hpp
@@ -2,34 +2,43 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <string>
 
 #include "godwitbarrow/core/error.hpp"
 #include "godwitbarrow/core/names.hpp"
 
-/// The row in the store through which the hosts agree on who replaces the
-/// primary of a group.
+/// The rows in the store through which the hosts agree on who replaces the
+/// primary of a group. Times are those of the store's clock.
 namespace godwitbarrow::takeover
 {
 
-struct row
+/// The last claim to replace the primary of a group; one row a group.
+struct claim
 {
-    /// Fencing token of the last claim. Each claim takes the next one.
+    /// Fencing token. Each claim takes the next one.
     std::uint64_t token = 0;
     core::host_id holder;
-    /// The primary that the last claim replaces.
+    /// The primary that the claim replaces.
     core::server_id replaced;
-    /// Time of the store at the last claim.
-    std::chrono::milliseconds claimed{0};
-    /// The primary that hosts report as unreachable, and the time of the store
-    /// at each report.
+    std::chrono::milliseconds made{0};
+};
+
+/// A host's word that it cannot reach the primary; one row a host and group,
+/// so that the votes of many hosts do not wait for each other.
+struct vote
+{
     core::server_id suspect;
-    std::map<core::host_id, std::chrono::milliseconds> votes;
+    /// When the primary last answered this host.
+    std::chrono::milliseconds since{0};
+    /// When the host last renewed its vote.
+    std::chrono::milliseconds renewed{0};
 };
 
-std::string encode(const row& it);
+std::string encode(const claim& it);
+std::string encode(const vote& it);
+
 /// `protocol_error` if the text is no such row.
-core::result<row> decode(const std::string& text);
+core::result<claim> decode_claim(const std::string& text);
+core::result<vote> decode_vote(const std::string& text);
 
 }  // namespace godwitbarrow::takeover
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -49,7 +49,7 @@
 void start_reading(context& in)
 {
     enter(in, phase::reading);
-    in.out.push_back(read_row{});
+    in.out.push_back(read_rows{});
 }
 
 /// A primary that is leaving or unknown needs no confirmation.
@@ -61,22 +61,46 @@
     in.out.push_back(ask_member{*in.it.view.primary, std::nullopt});
 }
 
-/// Whether enough hosts cannot reach the primary: half of them, or this one
-/// for long enough.
-bool enough_votes(const context& in, const row& r,
-                  std::chrono::milliseconds store_time)
+/// Time that the hosts together have been without the primary.
+std::chrono::milliseconds lost_time(const context& in, const rows_read& rows)
 {
-    const auto fresh = std::count_if(
-        r.votes.begin(), r.votes.end(),
-        [&](const auto& v)
-        { return store_time - v.second <= in.settings.vote_limit; });
-    const auto half = (in.it.view.live_hosts + 1) / 2;
-    if (static_cast<std::size_t>(fresh) >= half)
+    auto lost = in.it.view.unreachable_for;
+    for (const auto& [host, v] : rows.votes)
+    {
+        const bool fresh =
+            rows.store_time - v.renewed <= in.settings.vote_limit;
+        if (fresh && host != in.settings.self && v.suspect == suspect_of(in.it))
+            lost += rows.store_time - v.since;
+    }
+    return lost;
+}
+
+/// Whether replacing the primary costs the hosts less than waiting for it, as
+/// far as the votes show, or this host has waited long enough.
+bool enough_votes(const context& in, const rows_read& rows)
+{
+    const auto hosts =
+        static_cast<std::chrono::milliseconds::rep>(in.it.view.live_hosts);
+    if (lost_time(in, rows) >= in.settings.promotion_cost * hosts)
         return true;
     return in.it.suspected_since &&
            in.now - *in.it.suspected_since >= in.settings.lone_limit;
 }
 
+void cast_vote(context& in, const rows_read& rows)
+{
+    const auto own = rows.votes.find(in.settings.self);
+    const bool renewed =
+        own != rows.votes.end() && own->second.suspect == suspect_of(in.it) &&
+        rows.store_time - own->second.renewed < in.settings.vote_interval;
+    if (renewed)
+        return pause(in, in.settings.pause);
+    enter(in, phase::voting);
+    in.out.push_back(write_vote{{suspect_of(in.it),
+                                 rows.store_time - in.it.view.unreachable_for,
+                                 rows.store_time}});
+}
+
 void start_asking(context& in)
 {
     auto& s = in.it;
@@ -100,40 +124,28 @@
         pause(in, in.settings.pause);
 }
 
-void take_row(context& in, const row_read& what)
+void take_rows(context& in, const rows_read& rows)
 {
     auto& s = in.it;
     if (s.at != phase::reading)
         return;
-    s.version = what.version;
-    s.last_row = what.what.value_or(row{});
-    auto next = s.last_row;
-    const auto suspect = suspect_of(s);
-    const bool recent = next.token > 0 && what.store_time - next.claimed <
-                                              in.settings.claim_limit;
+    auto next = rows.last.value_or(claim{});
+    const bool recent =
+        next.token > 0 && rows.store_time - next.made < in.settings.claim_limit;
     if (recent && next.holder == in.settings.self && s.token == next.token)
         return start_asking(in);
     if (recent && next.holder != in.settings.self)
         return pause(in, in.settings.pause);
-    if (next.suspect != suspect)
-        next.votes.clear();
-    next.suspect = suspect;
-    next.votes[in.settings.self] = what.store_time;
-    if (!s.view.leaving && !enough_votes(in, next, what.store_time))
-    {
-        enter(in, phase::voting);
-        in.out.push_back(write_row{std::move(next), s.version});
-        return;
-    }
-    next.votes.clear();
+    if (!s.view.leaving && !enough_votes(in, rows))
+        return cast_vote(in, rows);
     next.holder = in.settings.self;
-    next.replaced = suspect;
-    next.claimed = what.store_time;
+    next.replaced = suspect_of(s);
+    next.made = rows.store_time;
     s.token = ++next.token;
     s.refused.clear();
     s.orders = 0;
     enter(in, phase::claiming);
-    in.out.push_back(write_row{std::move(next), s.version});
+    in.out.push_back(write_claim{std::move(next), rows.version});
 }
 
 void take_written(context& in, const row_written& what)
@@ -298,9 +310,9 @@
     {
         take_view(in, it);
     }
-    void operator()(const row_read& it) const
+    void operator()(const rows_read& it) const
     {
-        take_row(in, it);
+        take_rows(in, it);
     }
     void operator()(const row_written& it) const
     {
