--- a/libs/takeover/test/many_hosts_test.cpp
+++ b/libs/takeover/test/many_hosts_test.cpp
@@ -13,7 +13,7 @@
 constexpr auto step = 10ms;
 constexpr std::size_t host_count = 32;
 
-struct host
+struct simulated_host
 {
     takeover_settings settings;
     takeover_state state;
@@ -25,7 +25,7 @@
 /// starts when the primary stops answering.
 struct fleet
 {
-    std::vector<host> hosts{host_count};
+    std::vector<simulated_host> hosts{host_count};
     std::multimap<std::chrono::milliseconds, std::function<void()>> due;
     std::chrono::milliseconds now{0};
     std::chrono::milliseconds store_delay{4};
