--- a/libs/pooler/test/fuzz_test.cpp
+++ b/libs/pooler/test/fuzz_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 
+#include "fuzzing.hpp"
 #include "sim/fleet.hpp"
 
 using namespace godwitbarrow;
@@ -199,7 +200,7 @@
 rc::Gen<command> any_command()
 {
     // Statements and short waits are much more frequent than faults.
-    static const std::vector<std::pair<std::size_t, step>> weights{
+    static const fuzzing::step_weights<step> weights{
         {10, step::read},
         {8, step::write},
         {8, step::transaction},
@@ -225,24 +226,7 @@
         {1, step::leave_member},
         {1, step::unreachable},
         {2, step::heal}};
-    std::vector<step> all;
-    for (const auto& [weight, it] : weights)
-        all.insert(all.end(), weight, it);
-    const auto number = rc::gen::inRange(0U, 1U << 16U);
-    return rc::gen::construct<command>(rc::gen::elementOf(all), number, number,
-                                       number);
-}
-
-/// GODWITBARROW_FUZZ_CASES sets the number of cases of a longer run.
-void set_cases()
-{
-    const char* cases = std::getenv("GODWITBARROW_FUZZ_CASES");
-    if (cases == nullptr)
-        return;
-    const char* known = std::getenv("RC_PARAMS");
-    const auto params =
-        std::string(known ? known : "") + " max_success=" + cases;
-    setenv("RC_PARAMS", params.c_str(), 1);
+    return fuzzing::weighted_command<command>(weights);
 }
 
 /// Whether callers of each database are served once all faults are over.
@@ -273,7 +257,7 @@
 // or beside another's, an answer of another statement.
 BOOST_AUTO_TEST_CASE(nothing_that_a_caller_was_told_is_false)
 {
-    set_cases();
+    fuzzing::set_cases();
     BOOST_TEST(rc::check(
         [](std::uint32_t seed)
         {
--- a/libs/serving/test/fuzz_test.cpp
+++ b/libs/serving/test/fuzz_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 
+#include "fuzzing.hpp"
 #include "world.hpp"
 
 using namespace godwitbarrow;
@@ -312,7 +313,7 @@
 rc::Gen<command> any_command()
 {
     // Requests and short waits are much more frequent than faults.
-    static const std::vector<std::pair<std::size_t, step>> weights{
+    static const fuzzing::step_weights<step> weights{
         {6, step::write},     {5, step::keyed_write},  {2, step::repeat_key},
         {6, step::read},      {5, step::bounded_read}, {2, step::slow_read},
         {4, step::begin},     {6, step::statement},    {4, step::commit},
@@ -322,24 +323,7 @@
         {2, step::promote},   {1, step::split},        {2, step::follow},
         {1, step::leave},     {1, step::own},          {1, step::go_away},
         {1, step::restart}};
-    std::vector<step> all;
-    for (const auto& [weight, it] : weights)
-        all.insert(all.end(), weight, it);
-    const auto number = rc::gen::inRange(0U, 1U << 16U);
-    return rc::gen::construct<command>(rc::gen::elementOf(all), number, number,
-                                       number);
-}
-
-/// GODWITBARROW_FUZZ_CASES sets the number of cases of a longer run.
-void set_cases()
-{
-    const char* cases = std::getenv("GODWITBARROW_FUZZ_CASES");
-    if (cases == nullptr)
-        return;
-    const char* known = std::getenv("RC_PARAMS");
-    const auto params =
-        std::string(known ? known : "") + " max_success=" + cases;
-    setenv("RC_PARAMS", params.c_str(), 1);
+    return fuzzing::weighted_command<command>(weights);
 }
 
 }  // namespace
@@ -352,7 +336,7 @@
 // answer.
 BOOST_AUTO_TEST_CASE(nothing_that_a_caller_was_told_is_false)
 {
-    set_cases();
+    fuzzing::set_cases();
     BOOST_TEST(rc::check(
         [](std::uint32_t seed)
         {
