Leave a primary that most hosts reach

Callers lose acknowledged writes and the others lose a second.

Half of the live hosts have to vote again, in addition to the lost time, and one host alone claims after 5 s. A primary is suspected after 0.4 s in place of 0.7 s; it is still asked on a new connection before a vote.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -30,8 +30,8 @@
     /// spend most of their time on the way.
     std::size_t far_factor = 2;
     /// A primary that failed and has not answered for this long since is
-    /// unreachable.
-    std::chrono::milliseconds unreachable_limit{700};
+    /// unreachable. It is then asked on a new connection before hosts vote.
+    std::chrono::milliseconds unreachable_limit{400};
     /// A group without a primary is served by searching for this long.
     std::chrono::milliseconds search_limit{1200};
     /// Attempts to open connections to one member at a time. Each takes a slot
--- a/libs/serving/test/fuzz_test.cpp
+++ b/libs/serving/test/fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include <rapidcheck.h>
+
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -28,13 +28,15 @@
     /// A vote counts for this long after it was renewed.
     std::chrono::milliseconds vote_limit{1500};
     std::chrono::milliseconds vote_interval{600};
-    /// About what a promotion costs each host. A primary is replaced once the
-    /// hosts have been without it for longer than that, on average: at once if
-    /// none reaches it, later the fewer do not.
+    /// About what a promotion costs each host. A primary that half of the hosts
+    /// cannot reach is replaced once all of them have been without it for
+    /// longer than that, on average.
     std::chrono::milliseconds promotion_cost{500};
-    /// One host alone may claim after it suspected for this long, for example
-    /// because the others were killed as well.
-    std::chrono::milliseconds lone_limit{2500};
+    /// A host may claim without the others after it suspected for this long,
+    /// for example because they were killed as well. Most may still reach the
+    /// primary, and commits that no replica received would be lost, so it is
+    /// longer than a partition of some hosts usually lasts.
+    std::chrono::milliseconds lone_limit{5000};
     std::chrono::milliseconds answer_limit{400};
     std::chrono::milliseconds pause{200};
     /// After a promotion was ordered, before the next one may begin.
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -61,27 +61,40 @@
     in.out.push_back(ask_member{*in.it.view.primary, std::nullopt});
 }
 
-/// Time that the hosts together have been without the primary.
-std::chrono::milliseconds lost_time(const context& in, const rows_read& rows)
+struct vote_count
 {
-    auto lost = in.it.view.unreachable_for;
+    std::size_t hosts = 1;
+    /// Time that these hosts together have been without the primary.
+    std::chrono::milliseconds lost{0};
+};
+
+/// Counts this host and the fresh votes of others.
+vote_count count_votes(const context& in, const rows_read& rows)
+{
+    vote_count out;
+    out.lost = in.it.view.unreachable_for;
     for (const auto& [host, v] : rows.votes)
     {
         const bool fresh =
             rows.store_time - v.renewed <= in.settings.vote_limit;
-        if (fresh && host != in.settings.self && v.suspect == suspect_of(in.it))
-            lost += rows.store_time - v.since;
+        if (!fresh || host == in.settings.self ||
+            v.suspect != suspect_of(in.it))
+            continue;
+        ++out.hosts;
+        out.lost += rows.store_time - v.since;
     }
-    return lost;
+    return out;
 }
 
-/// Whether replacing the primary costs the hosts less than waiting for it, as
-/// far as the votes show, or this host has waited long enough.
+/// Whether half of the hosts miss the primary and replacing it costs all of
+/// them less than waiting, or this host has waited long enough.
 bool enough_votes(const context& in, const rows_read& rows)
 {
-    const auto hosts =
-        static_cast<std::chrono::milliseconds::rep>(in.it.view.live_hosts);
-    if (lost_time(in, rows) >= in.settings.promotion_cost * hosts)
+    const auto votes = count_votes(in, rows);
+    const auto live = in.it.view.live_hosts;
+    const auto cost = in.settings.promotion_cost *
+                      static_cast<std::chrono::milliseconds::rep>(live);
+    if (2 * votes.hosts >= live && votes.lost >= cost)
         return true;
     return in.it.suspected_since &&
            in.now - *in.it.suspected_since >= in.settings.lone_limit;
--- a/libs/takeover/test/many_hosts_test.cpp
+++ b/libs/takeover/test/many_hosts_test.cpp
@@ -109,7 +109,7 @@
 
     void look(std::size_t n)
     {
-        const auto noticed = 700ms + 20ms * static_cast<int>(n);
+        const auto noticed = 400ms + 20ms * static_cast<int>(n);
         group_view view;
         view.primary = core::server_id{"a"};
         view.candidates = {{"b"}, {"c"}};
@@ -148,13 +148,14 @@
     BOOST_TEST(calls <= 6 * hosts.size());
 }
 
-// Guards against a promotion, which stops all callers of the group, although
-// most hosts reach the primary and the others may soon.
+// Replays inc-bc44 of atlas-pergola-grown: 13 of 29 hosts were cut off from a
+// primary that served the others, and its replicas had received nothing for
+// seconds. A promotion lost 146 commits that callers had been told of.
 BOOST_FIXTURE_TEST_CASE(leave_a_primary_that_most_of_them_reach, fleet)
 {
-    for (std::size_t n = 4; n < hosts.size(); ++n)
+    for (std::size_t n = 15; n < hosts.size(); ++n)
         hosts[n].reaches = true;
-    run_for(2s);
+    run_for(5s);
     BOOST_TEST(!claimed);
 }
 
