Ask a member on one strand

Cause as far as shown: the deadline of a question to a member ran outside the strand of its connection.

The question, its deadline and its connection now run on one strand.

--- a/apps/proxy/src/pooled/member_question.cpp
+++ b/apps/proxy/src/pooled/member_question.cpp
@@ -1,5 +1,8 @@
 #include "member_question.hpp"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
 #include "godwitbarrow/platform/member_wire.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 
@@ -10,11 +13,16 @@
 namespace
 {
 
-/// One question. Used on the strand of its connection, but for `link`.
+using question_strand =
+    boost::asio::strand<boost::asio::io_context::executor_type>;
+
+/// One question. Used on its strand, on which the connection runs as well: its
+/// answers and the deadline may come at the same time.
 struct question
 {
-    explicit question(boost::asio::io_context& io) : deadline(io) {}
+    explicit question(const question_strand& s) : strand(s), deadline(s) {}
 
+    question_strand strand;
     stream::connection_ptr link;
     core::timer deadline;
     platform::partial_answer partial;
@@ -70,6 +78,35 @@
         take_answer(q, *a);
 }
 
+void ask(const question_ptr& q, const core::endpoint& address,
+         std::chrono::milliseconds limit)
+{
+    q->deadline.expires_after(limit);
+    q->deadline.async_wait(
+        [q](boost::system::error_code ec)
+        {
+            if (!ec)
+                finish(q, std::nullopt);
+        });
+    stream::handlers on;
+    on.received = [q](std::string_view line)
+    {
+        take_line(q, line);
+    };
+    on.closed = [q](const std::string&)
+    {
+        finish(q, std::nullopt);
+    };
+    q->link = stream::connect(
+        q->strand, address, limit,
+        [q]
+        {
+            if (q->link)
+                stream::send(q->link, q->first);
+        },
+        std::move(on));
+}
+
 }  // namespace
 }  // namespace detail
 
@@ -78,7 +115,8 @@
     std::optional<core::term_number> pause_at, std::chrono::milliseconds limit,
     std::function<void(std::optional<takeover::member_report>)> handler)
 {
-    const auto q = std::make_shared<detail::question>(it.io);
+    const auto q =
+        std::make_shared<detail::question>(boost::asio::make_strand(it.io));
     q->handler = std::move(handler);
     q->first =
         platform::encode_startup(member.group, member.server, it.settings.name);
@@ -88,30 +126,8 @@
         ++q->before_status;
     }
     q->then += platform::encode_status();
-    stream::handlers on;
-    on.received = [q](std::string_view line)
-    {
-        detail::take_line(q, line);
-    };
-    on.closed = [q](const std::string&)
-    {
-        detail::finish(q, std::nullopt);
-    };
-    q->deadline.expires_after(limit);
-    q->link = stream::connect(
-        it.io.get_executor(), member.address, limit,
-        [q]
-        {
-            if (q->link)
-                stream::send(q->link, q->first);
-        },
-        std::move(on));
-    q->deadline.async_wait(
-        [q](boost::system::error_code ec)
-        {
-            if (!ec)
-                detail::finish(q, std::nullopt);
-        });
+    boost::asio::post(q->strand, [q, address = member.address, limit]
+                      { detail::ask(q, address, limit); });
 }
 
 }  // namespace godwitbarrow::proxy::pooled
