--- a/apps/proxy/src/pooled/store_watch.cpp
+++ b/apps/proxy/src/pooled/store_watch.cpp
@@ -99,9 +99,12 @@
 void follow(app& it, const watch_ptr& w)
 {
     const bool whole = !w->version;
+    // After a failure the store answers at once, so that a repeated call on a
+    // connection that went silent meanwhile is noticed early.
+    const auto wait = w->reachable ? w->wait : std::chrono::milliseconds(0);
     auto call = whole ? platform::list_rows(w->table)
-                      : platform::watch_rows(w->table, *w->version, w->wait);
-    const auto timeout = whole ? answer_margin : w->wait + answer_margin;
+                      : platform::watch_rows(w->table, *w->version, wait);
+    const auto timeout = whole ? answer_margin : wait + answer_margin;
     call_service(it, w->link, std::move(call), timeout,
                  [&it, w, whole](const http::exchange_result& got)
                  { take_page(it, w, rows_in(got), whole); });
--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -26,13 +26,8 @@
 
 /// Generous, and only reached if a test fails.
 constexpr auto test_limit = 20s;
-
-std::uint16_t free_port()
-{
-    asio::io_context io;
-    const tcp::acceptor it(io, {asio::ip::address_v4::loopback(), 0});
-    return it.local_endpoint().port();
-}
+/// Limit of the platform for applying a configuration.
+constexpr auto configuration_bound = 3s;
 
 core::endpoint local(std::uint16_t port)
 {
@@ -96,7 +91,7 @@
     std::unique_ptr<pooled> host;
     std::thread standin_thread;
     std::thread proxy;
-    std::uint16_t port = free_port();
+    std::uint16_t port = 0;
 
     explicit deployment(std::size_t workers = 1)
     {
@@ -119,13 +114,16 @@
         settings.name = {"host-1"};
         settings.data_centre = {"north"};
         settings.workers = workers;
-        settings.callers = local(port);
-        settings.readiness = local(free_port());
+        // The system chooses the ports when the host binds them, so no other
+        // socket of the test can take them first.
+        settings.callers = local(0);
+        settings.readiness = local(0);
         settings.store = local(store.port());
         settings.promotions = local(store.port());
         settings.grace = 4000ms;
         host = std::make_unique<pooled>(settings);
         BOOST_REQUIRE(ok(proxy::pooled::start(*host)));
+        port = host->acceptor.local_endpoint().port();
         proxy = std::thread([this] { proxy::pooled::run_workers(*host); });
         wait_until([this] { return host->ready.load(); });
         wait_until([this] { return member_count() == 3; });
@@ -155,6 +153,12 @@
         return it == groups.end() ? 0 : it->second.members.size();
     }
 
+    std::uint64_t configured_version()
+    {
+        std::lock_guard lock(host->decisions.mutex);
+        return host->decisions.state.active_configuration.version;
+    }
+
     template <class Condition>
     void wait_until(Condition&& done)
     {
@@ -190,6 +194,15 @@
                       R"(","seq":1,"born":1})");
     }
 
+    /// A registration with these texts for its slots and its port.
+    static std::string odd_entry(const std::string& slots,
+                                 const std::string& entry_port)
+    {
+        return R"({"service":"quotes","addr":"127.0.0.1:)" + entry_port +
+               R"(","zone":"north","version":"v1","slots":)" + slots +
+               R"(,"state":"ready","db_role":"primary","seq":1})";
+    }
+
     void promote(const std::string& id)
     {
         data->primary = id;
@@ -331,20 +344,41 @@
     BOOST_TEST(host->ready.load());
 }
 
-BOOST_FIXTURE_TEST_CASE(reads_anew_what_it_missed, deployment)
+// Reproduces soak seed 402: a call to the store was repeated on a connection
+// that had gone silent while the store refused calls. It was noticed only after
+// the time for which the store holds a call, and the host missed a route.
+BOOST_FIXTURE_TEST_CASE(follows_it_within_the_bound_after_silent_connections,
+                        deployment)
 {
     at_standins(
         [&]
         {
-            store.history_lost = true;
+            store.put("op", "other", "ends the call that is held");
+            store.faults.down = true;
+        });
+    std::this_thread::sleep_for(500ms);
+    at_standins(
+        [&]
+        {
+            standins::silence_sessions(store.server, nullptr);
+            store.faults.down = false;
             configure(2);
         });
-    wait_until(
+    const auto before = std::chrono::steady_clock::now();
+    wait_until([&] { return configured_version() == 2; });
+    BOOST_TEST(
+        (std::chrono::steady_clock::now() - before < configuration_bound));
+}
+
+BOOST_FIXTURE_TEST_CASE(reads_anew_what_it_missed, deployment)
+{
+    at_standins(
         [&]
         {
-            std::lock_guard lock(host->decisions.mutex);
-            return host->decisions.state.active_configuration.version == 2;
+            store.history_lost = true;
+            configure(2);
         });
+    wait_until([&] { return configured_version() == 2; });
 }
 
 BOOST_FIXTURE_TEST_CASE(ignores_entries_of_other_writers, deployment)
@@ -354,14 +388,14 @@
         {
             store.put("servers", "x", "\xff\x01 no entry");
             store.put("servers", "y", R"({"service":3})");
+            store.put("servers", "nested",
+                      std::string(100'000, '[') + std::string(100'000, ']'));
+            store.put("servers", "large", odd_entry("1e400", "8080"));
+            store.put("servers", "port", odd_entry("2", "65536"));
+            store.put("servers", "zero", odd_entry("2", "0"));
             configure(3);
         });
-    wait_until(
-        [&]
-        {
-            std::lock_guard lock(host->decisions.mutex);
-            return host->decisions.state.active_configuration.version == 3;
-        });
+    wait_until([&] { return configured_version() == 3; });
     BOOST_TEST(member_count() == 3U);
 }
 
