--- a/test/model/include/godwitbarrow/model/group.hpp
+++ b/test/model/include/godwitbarrow/model/group.hpp
@@ -84,6 +84,14 @@
     core::term_number term = 1;
     std::size_t synchronous_replicas = 0;
     std::chrono::milliseconds promotion_time{600};
+    /// Whether a replaced primary leads on until it is told to step down or has
+    /// reached its successor for `former_primary_time`.
+    bool former_primary_leads = false;
+    std::chrono::milliseconds former_primary_time{1000};
+    std::optional<core::server_id> former_primary;
+    core::time_point replaced_at;
+    /// The primary was told to step down and has no successor yet.
+    bool stepped_down = false;
     std::optional<pending_promotion> promotion;
     /// Commits that a promotion rolled back. A later promotion of a member that
     /// still has them does not take them off.
@@ -133,7 +141,7 @@
                  core::time_point now);
 
 /// Lets replicas receive what is due and a promotion take effect. Returns
-/// whether the primary changed.
+/// whether the role of a member changed.
 bool advance(group& it, core::time_point now);
 
 /// False if the member does not run. Takes effect later.
@@ -150,6 +158,11 @@
 
 bool has_position(const member& it, const core::log_position& at);
 
+/// Whether the member accepts writes.
 bool leads(const group& it, const core::server_id& server);
 
+/// Makes a primary of a term below `term` a replica.
+void step_down(group& it, const core::server_id& server,
+               core::term_number term);
+
 }  // namespace godwitbarrow::model
--- a/test/model/include/godwitbarrow/model/oracle.hpp
+++ b/test/model/include/godwitbarrow/model/oracle.hpp
@@ -77,6 +77,8 @@
     core::request_id id;
     std::vector<std::string> rows;
     commit_ptr committed;
+    /// Whether it was committed after the promotion of another member.
+    bool at_former_primary = false;
 };
 
 struct oracle
@@ -88,6 +90,9 @@
     std::map<core::group_id, std::vector<acknowledged_commit>> acknowledged;
     /// Transactions of members, by group and number, and their operations.
     std::map<std::pair<core::group_id, std::uint64_t>, std::uint64_t> owners;
+    /// Until then a host is frozen or has just resumed, and may use a primary
+    /// whose replacement it could not learn of.
+    core::time_point excused_until;
     std::uint64_t last_operation = 0;
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
--- a/test/model/src/group.cpp
+++ b/test/model/src/group.cpp
@@ -48,7 +48,7 @@
         append(to, from.log[to.log.size()]);
 }
 
-void take_lead(group& it)
+void take_lead(group& it, core::time_point now)
 {
     const auto server = it.promotion->server;
     it.promotion.reset();
@@ -58,11 +58,32 @@
     for (const auto& made : it.members.at(it.primary).log)
         if (!contains(m->second, *made))
             it.rolled_back.insert(made);
+    if (it.former_primary_leads && leads(it, it.primary))
+        it.former_primary = it.primary;
+    else
+        it.former_primary.reset();
+    it.replaced_at = now;
+    it.stepped_down = false;
     it.primary = server;
     m->second.log_term = ++it.term;
     m->second.paused_at = 0;
 }
 
+/// Ends the lead of a replaced primary that has reached its successor.
+/// Returns whether it did.
+bool end_former_primary(group& it, core::time_point now)
+{
+    if (!it.former_primary)
+        return false;
+    const auto& m = it.members.at(*it.former_primary);
+    const bool reached =
+        m.receives && now - it.replaced_at >= it.former_primary_time;
+    if (!reached && m.running)
+        return false;
+    it.former_primary.reset();
+    return true;
+}
+
 }  // namespace
 }  // namespace detail
 
@@ -93,13 +114,14 @@
 {
     const auto before = it.primary;
     if (it.promotion && it.promotion->due <= now)
-        detail::take_lead(it);
+        detail::take_lead(it, now);
+    const bool ended = detail::end_former_primary(it, now);
     const auto& primary = it.members.at(it.primary);
     if (primary.running)
         for (auto& [id, m] : it.members)
-            if (id != it.primary)
+            if (id != it.primary && it.former_primary != id)
                 detail::receive(m, primary, now);
-    return it.primary != before;
+    return ended || it.primary != before;
 }
 
 bool order_promotion(group& it, const core::server_id& server,
@@ -147,7 +169,19 @@
 
 bool leads(const group& it, const core::server_id& server)
 {
-    return it.primary == server && it.members.at(server).running;
+    const bool present = it.primary == server && !it.stepped_down;
+    return (present || it.former_primary == server) &&
+           it.members.at(server).running;
+}
+
+void step_down(group& it, const core::server_id& server, core::term_number term)
+{
+    if (term <= it.members.at(server).log_term)
+        return;
+    if (it.former_primary == server)
+        it.former_primary.reset();
+    if (it.primary == server)
+        it.stepped_down = true;
 }
 
 }  // namespace godwitbarrow::model
--- a/test/model/src/oracle.cpp
+++ b/test/model/src/oracle.cpp
@@ -145,7 +145,13 @@
                       id.value + " was answered without its member's proof");
     if (found->second.rows != what.rows)
         report(it, "own answers", id.value + " was answered with other rows");
-    if (const auto& c = found->second.committed)
+    if (found->second.at_former_primary)
+    {
+        if (now >= it.excused_until)
+            report(it, "one primary",
+                   id.value + " was acknowledged by a replaced primary");
+    }
+    else if (const auto& c = found->second.committed)
     {
         it.acknowledged[c->group].push_back({c, now, number});
         forget_old(it.acknowledged[c->group], now);
@@ -291,7 +297,9 @@
     auto& of = it.operations.at(sent.operation);
     detail::check_place(it, at.name, what, sent, of);
     detail::check_session(it, what, sent);
-    it.answers[what.signature] = {what.id, what.rows, what.committed};
+    it.answers[what.signature] = {
+        what.id, what.rows, what.committed,
+        what.committed && detail::is_dropped(at, what.committed)};
     ++(sent.writes ? it.writes : it.reads);
     const auto c = it.callers.find(of.caller);
     if (detail::reads_data(sent) && c != it.callers.end())
--- a/test/model/src/statements.cpp
+++ b/test/model/src/statements.cpp
@@ -98,11 +98,13 @@
     {
         const auto position = position_of(in.at);
         commit made{in.all.name,
-                    {in.all.term, position.position + 1},
+                    {in.at.log_term, position.position + 1},
                     std::move(changes),
                     in.now};
         it.committed = std::make_shared<const commit>(std::move(made));
         append(in.at, it.committed);
+        if (in.all.former_primary == in.session.server)
+            in.all.rolled_back.insert(it.committed);
         if (in.all.synchronous_replicas > 0)
             acknowledged = replicate_at_once(in.all, in.at);
     }
@@ -124,7 +126,7 @@
 {
     return in.session.transaction != 0 && !in.session.read_only &&
            (!leads(in.all, in.session.server) ||
-            in.session.began_in != in.all.term);
+            in.session.began_in != in.at.log_term);
 }
 
 executed run_begin(context& in, const pooler::query& what, bool read_only)
@@ -138,7 +140,7 @@
         return refuse(in, failure_code::read_only);
     s.state = session_state::in_transaction;
     s.read_only = read_only;
-    s.began_in = in.all.term;
+    s.began_in = in.at.log_term;
     s.transaction = ++in.all.last_transaction;
     return done(in);
 }
--- a/test/soak/src/fleet.cpp
+++ b/test/soak/src/fleet.cpp
@@ -31,7 +31,7 @@
 }
 
 void write_settings(const host_process& it, const std::string& address,
-                    std::uint16_t port)
+                    std::uint16_t port, bool fencing)
 {
     const auto store = "127.0.0.1:" + std::to_string(port_of(*it.store)) + "\n";
     std::ofstream out(it.settings_path);
@@ -43,6 +43,7 @@
         << "metrics = " << address << ":" << port + 2 << "\n\n"
         << "[store]\naddress = " << store
         << "\n[promotions]\naddress = " << store
+        << "fencing = " << (fencing ? "true" : "false") << "\n"
         << "\n[shutdown]\ngrace = " << grace.count()
         << "s\n\n[members]\nleaving_limit = 7s\n";
 }
@@ -106,7 +107,7 @@
         h.callers = {address, port};
         h.settings_path = options.work_folder + "/" + h.name + ".ini";
         h.store = open_proxy(it.io, {"127.0.0.1", options.store_port});
-        detail::write_settings(h, address, port);
+        detail::write_settings(h, address, port, options.fencing);
         it.hosts.push_back(std::move(h));
     }
     for (auto& h : it.hosts)
--- a/test/soak/src/fleet.hpp
+++ b/test/soak/src/fleet.hpp
@@ -32,6 +32,8 @@
     std::string program;
     std::string work_folder;
     std::uint16_t store_port = 0;
+    /// Whether a replaced primary stops at once.
+    bool fencing = true;
     unsigned hosts = 4;
 };
 
--- a/test/soak/src/main.cpp
+++ b/test/soak/src/main.cpp
@@ -16,6 +16,8 @@
 DEFINE_uint32(hosts, 0, "processes of the proxy; 0: by the seed, 3 to 8");
 DEFINE_uint32(groups, 2, "groups of three members");
 DEFINE_uint32(callers, 6, "callers of each database");
+DEFINE_bool(fencing, true,
+            "a replaced primary stops at once, not when told to step down");
 DEFINE_bool(keep, false, "keep the folder with the logs");
 
 namespace
@@ -174,7 +176,10 @@
 {
     soak::start_deployment(it.around, FLAGS_groups,
                            FLAGS_seed % 4 == 3 ? 1 : 0);
+    for (auto& [name, d] : it.around.databases)
+        d->group.former_primary_leads = !FLAGS_fencing;
     soak::fleet_options options;
+    options.fencing = FLAGS_fencing;
     options.program = FLAGS_program;
     options.work_folder = folder;
     options.store_port = it.around.store.port();
--- a/test/soak/src/member_server.cpp
+++ b/test/soak/src/member_server.cpp
@@ -104,9 +104,11 @@
     if (word == "PAUSE" && term > m.log_term &&
         !model::leads(it->group, it->server))
         m.paused_at = std::max(m.paused_at, term);
+    else if (word == "STEPDOWN")
+        model::step_down(it->group, it->server, term);
     else if (word == "RESUME")
         m.paused_at = 0;
-    else if (word != "STATUS" && word != "PAUSE" && word != "STEPDOWN")
+    else if (word != "STATUS" && word != "PAUSE")
         return std::nullopt;
     return pooler::answer{{status_row(it)}, pooler::success{}, {}, {}};
 }
--- a/test/soak/src/trouble.cpp
+++ b/test/soak/src/trouble.cpp
@@ -12,6 +12,9 @@
 namespace
 {
 
+/// Time in which a resumed host learns what happened while it was frozen.
+constexpr std::chrono::milliseconds thaw_time{300};
+
 using godwitbarrow::standins::call_after;
 using namespace std::chrono_literals;
 using milliseconds = std::chrono::milliseconds;
@@ -93,9 +96,11 @@
 void pause_host(troublemaker& it)
 {
     const auto host = some_host(it);
+    const auto time = between(it, 100ms, 4000ms);
+    auto& excused = it.around.judge.excused_until;
+    excused = std::max(excused, core::runtime_clock::now() + time + thaw_time);
     send_signal(it.hosts, host, SIGSTOP);
-    later(it, between(it, 100ms, 4000ms),
-          [&it, host] { send_signal(it.hosts, host, SIGCONT); });
+    later(it, time, [&it, host] { send_signal(it.hosts, host, SIGCONT); });
 }
 
 // Links to members.
