Spread the reads of hosts over replicas and prefer near ones

Cause: a host without a member in its data centre rated all replicas alike and took the one with the lowest name.

Change: the time that connections took tells near members from far ones, and hosts order equal members by a hash of their own name.

--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -81,6 +81,7 @@
 
 void apply_settings(const host_settings& from, pooler::pooler_settings& to)
 {
+    to.host = from.name;
     to.data_centre = from.data_centre;
     to.leaving_primary_limit =
         std::min(to.leaving_primary_limit, from.leaving_limit / 2);
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -22,6 +22,7 @@
 
 struct pooler_settings
 {
+    core::host_id host;
     core::data_centre_id data_centre;
     /// Statements in flight to a member per slot, summed over all hosts.
     /// Further statements wait in the queue of the host, ordered by rank.
@@ -35,6 +36,9 @@
     /// While a group has no known primary, members are probed for one for this
     /// long before the primary counts as unreachable.
     std::chrono::milliseconds search_limit{1200};
+    /// A member is far if connections to it took this much longer than to
+    /// another member of the group. Less than a round trip between regions.
+    std::chrono::milliseconds far_margin{10};
     /// Concurrent connection attempts to one member. Each occupies a slot of
     /// the member for longer than most statements do.
     std::size_t max_concurrent_opens = 1;
@@ -215,6 +219,10 @@
     std::size_t running = 0;
     std::optional<core::time_point> reopen_after;
     unsigned failed_opens = 0;
+    /// Least time that a connection to it took; absent if none was opened.
+    std::optional<core::duration> fastest_open;
+    /// Orders equally near members differently on each host.
+    std::uint64_t preference = 0;
     std::optional<core::time_point> lagging_until;
     /// Last back-off after a refusal as lagging; zero after a success.
     std::chrono::milliseconds last_lag_back_off{0};
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -369,6 +369,8 @@
         m->failed_opens = 0;
         m->reopen_after.reset();
         m->failed_at.reset();
+        const auto took = ctx.now - it->second.phase_since;
+        m->fastest_open = std::min(m->fastest_open.value_or(took), took);
         m->answered_at = ctx.now;
     }
     const auto group = it->second.group;
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -6,6 +6,7 @@
 #include "connections.hpp"
 #include "expiry.hpp"
 #include "freshness.hpp"
+#include "godwitbarrow/routing/owner.hpp"
 #include "placement.hpp"
 #include "sessions.hpp"
 
@@ -111,12 +112,16 @@
     auto& m = it->second;
     const auto before = m.record;
     m.record = to;
+    if (added)
+        m.preference = routing::rendezvous_hash(to.server.value,
+                                                ctx.pooler.settings.host.value);
     if (added)
         return log_member(ctx, to, "member registered");
     if (!(before.address == to.address) || before.incarnation != to.incarnation)
     {
         m.failed_opens = 0;
         m.reopen_after.reset();
+        m.fastest_open.reset();
         close_idle_connections(ctx, m);
         log_member(ctx, to, "member restarted");
     }
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -66,21 +66,55 @@
     return m.failed_at && now - *m.failed_at < settings.failed_back_off;
 }
 
+/// Least time that a connection to a member of the group took.
+std::optional<core::duration> fastest_open(const group& g)
+{
+    std::optional<core::duration> out;
+    for (const auto& [id, m] : g.members)
+        if (m.fastest_open && (!out || *m.fastest_open < *out))
+            out = m.fastest_open;
+    return out;
+}
+
+enum class distance
+{
+    /// Tried once, to find out.
+    unknown,
+    near,
+    /// Statements take longer than on another member of the group.
+    far
+};
+
+distance distance_of(const member& m, std::optional<core::duration> fastest,
+                     const pooler_settings& settings)
+{
+    if (!m.fastest_open || !fastest)
+        return m.failed_opens == 0 ? distance::unknown : distance::far;
+    return *m.fastest_open - *fastest > settings.far_margin ? distance::far
+                                                            : distance::near;
+}
+
 /// Returns the members that may run a read of bounded age, best first: members
-/// of the local data centre, then those with the fewest running statements. The
-/// primary comes last, because only it can run writes.
+/// of the local data centre, other near members, then those with the fewest
+/// running statements. The primary comes last, because only it can run writes.
+/// Hosts order equal members differently, so that the reads of all hosts spread
+/// over them while each host uses few connections.
 std::vector<core::server_id> read_candidates(const context& ctx, const group& g,
                                              const pending_statement& p)
 {
-    using rating = std::tuple<bool, bool, std::size_t, core::server_id>;
+    using rating = std::tuple<bool, bool, distance, std::size_t, std::uint64_t,
+                              core::server_id>;
     std::vector<rating> rated;
+    const auto fastest = fastest_open(g);
     for (const auto& [id, m] : g.members)
     {
         if (is_skipped(m, p, ctx.pooler.settings, ctx.now))
             continue;
         const bool remote =
             m.record.data_centre != ctx.pooler.settings.data_centre;
-        rated.emplace_back(g.primary == id, remote, m.running, id);
+        const auto away = distance_of(m, fastest, ctx.pooler.settings);
+        rated.emplace_back(g.primary == id, remote, away, m.running,
+                           m.preference, id);
     }
     std::sort(rated.begin(), rated.end());
     std::vector<core::server_id> out;
