--- a/test/pooled/host_settings_test.cpp
+++ b/test/pooled/host_settings_test.cpp
@@ -70,6 +70,24 @@
     BOOST_TEST(!std::get<host_settings>(parsed).metrics);
 }
 
+// Guards against a host that keeps using replaced primaries, because the
+// platform's word for it was not understood.
+BOOST_AUTO_TEST_CASE(say_whether_the_platform_fences_promotions)
+{
+    const std::string address = "address = 10.200.0.160:8783\n";
+    BOOST_TEST(std::get<host_settings>(parse_host_settings(valid)).fencing);
+    for (const bool fencing : {true, false})
+    {
+        const auto line =
+            std::string("fencing = ") + (fencing ? "true" : "false") + "\n";
+        const auto parsed = parse_host_settings(with(address, address + line));
+        BOOST_REQUIRE(ok(parsed));
+        BOOST_TEST(std::get<host_settings>(parsed).fencing == fencing);
+    }
+    BOOST_TEST(error_of(with(address, address + "fencing = no\n")) ==
+               "promotions.fencing: write true or false");
+}
+
 BOOST_AUTO_TEST_SUITE(that_are_wrong)
 
 BOOST_AUTO_TEST_CASE(name_the_key_and_the_remedy)
