Ignore claims and votes of a later store time, reject negative times in rows

Cause: a claim that lies in the future, as after a restart of the store's clock, counted as recent until the clock reached it, and no host replaced the primary. A negative time from another writer could overflow.

--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -9,6 +9,16 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
+/// Whether the time lies at most `limit` before `now`, both on the clock of the
+/// store. A later time is of a clock that has started anew since.
+bool is_recent(std::chrono::milliseconds at, std::chrono::milliseconds now,
+               std::chrono::milliseconds limit)
+{
+    return at <= now && now - at <= limit;
+}
+
 struct vote_count
 {
     std::size_t hosts = 1;
@@ -24,7 +34,7 @@
     for (const auto& [host, v] : rows.votes)
     {
         const bool fresh =
-            rows.store_time - v.renewed_at <= ctx.settings.vote_ttl;
+            is_recent(v.renewed_at, rows.store_time, ctx.settings.vote_ttl);
         if (!fresh || host == ctx.settings.self ||
             v.suspect != suspected_primary(ctx.state))
             continue;
@@ -54,14 +64,15 @@
     const auto own = rows.votes.find(ctx.settings.self);
     const bool renewed = own != rows.votes.end() &&
                          own->second.suspect == suspected_primary(ctx.state) &&
-                         rows.store_time - own->second.renewed_at <
-                             ctx.settings.vote_renewal_interval;
+                         is_recent(own->second.renewed_at, rows.store_time,
+                                   ctx.settings.vote_renewal_interval - 1ms);
     if (renewed)
         return pause_for(ctx, ctx.settings.retry_delay);
     enter_phase(ctx, phase::voting);
     ctx.out.push_back(write_vote{
         {suspected_primary(ctx.state),
-         rows.store_time - ctx.state.view.unreachable_for, rows.store_time}});
+         std::max(rows.store_time - ctx.state.view.unreachable_for, 0ms),
+         rows.store_time}});
 }
 
 }  // namespace
@@ -78,8 +89,9 @@
     if (state.current_phase != phase::reading)
         return;
     auto next = rows.last_claim.value_or(claim{});
-    const bool recent = next.token > 0 && rows.store_time - next.claimed_at <
-                                              ctx.settings.claim_ttl;
+    const bool recent =
+        next.token > 0 &&
+        is_recent(next.claimed_at, rows.store_time, ctx.settings.claim_ttl);
     if (recent && next.holder == ctx.settings.self && state.token == next.token)
         return query_members(ctx);
     if (recent && next.holder != ctx.settings.self)
--- a/libs/takeover/src/row.cpp
+++ b/libs/takeover/src/row.cpp
@@ -1,6 +1,7 @@
 #include "godwitbarrow/takeover/row.hpp"
 
 #include <boost/json.hpp>
+#include <stdexcept>
 
 namespace godwitbarrow::takeover
 {
@@ -15,7 +16,10 @@
 
 milliseconds read_time(const json::object& object, std::string_view key)
 {
-    return milliseconds(object.at(key).to_number<milliseconds::rep>());
+    const auto n = object.at(key).to_number<milliseconds::rep>();
+    if (n < 0)
+        throw std::out_of_range(std::string(key) + " is negative");
+    return milliseconds(n);
 }
 
 std::string read_text(const json::object& object, std::string_view key)
--- a/libs/takeover/test/decide_test.cpp
+++ b/libs/takeover/test/decide_test.cpp
@@ -198,6 +198,18 @@
     BOOST_TEST(first_action<write_claim>()->row.token == 5U);
 }
 
+// Guards against a primary that is never replaced after the clock of the store
+// started anew.
+BOOST_FIXTURE_TEST_CASE(is_replaced_despite_a_claim_of_an_earlier_clock, host)
+{
+    confirm_unreachable();
+    auto rows = rows_with_votes(3);
+    rows.last_claim->holder = {"host-2"};
+    rows.last_claim->claimed_at = store_time + 60s;
+    handle(rows);
+    BOOST_TEST(first_action<write_claim>().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(is_left_to_a_host_with_a_recent_claim, host)
 {
     confirm_unreachable();
--- a/libs/takeover/test/row_test.cpp
+++ b/libs/takeover/test/row_test.cpp
@@ -55,4 +55,27 @@
     }
 }
 
+// Guards against a row of another writer that ends the process.
+BOOST_AUTO_TEST_CASE(with_odd_fields_is_rejected)
+{
+    const auto claim_with =
+        [](const std::string& token, const std::string& time)
+    {
+        return R"({"holder":"h","replaced":"a","token":)" + token +
+               R"(,"claimed_ms":)" + time + "}";
+    };
+    const std::string nested =
+        std::string(100'000, '[') + std::string(100'000, ']');
+    BOOST_TEST(ok(decode_claim(claim_with("1", "2"))));
+    for (const auto* n : {"1e400", "-1", "18446744073709551616", "\"1\"", "{}"})
+    {
+        BOOST_TEST(!ok(decode_claim(claim_with(n, "2"))), n);
+        BOOST_TEST(!ok(decode_claim(claim_with("1", n))), n);
+    }
+    BOOST_TEST(!ok(decode_claim(claim_with("1", nested))));
+    BOOST_TEST(!ok(decode_claim(nested)));
+    BOOST_TEST(!ok(decode_vote(nested)));
+    BOOST_TEST(!ok(decode_vote("\xff\xfe")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
