Resume paused replicas once a primary has confirmed its role

The old primary came back, but its replicas stayed paused, so it got no acknowledgement for any commit and nothing was served for 12 s. A program that pauses replicas never resumed them, after a completed takeover neither.

Change: the host that paused replicas asks the primary for its role after the settle time and resumes them; while an unanswered order may still take effect, not from the old primary. Three new tests of decide_test.

--- a/apps/proxy/src/pooled/member_question.cpp
+++ b/apps/proxy/src/pooled/member_question.cpp
@@ -130,6 +130,11 @@
         q->then += platform::encode_step_down(*commands.step_down_at);
         ++q->before_status;
     }
+    if (commands.resume)
+    {
+        q->then += platform::encode_resume();
+        ++q->before_status;
+    }
     q->then += platform::encode_status();
     boost::asio::post(q->strand, [q, address = member.address, limit]
                       { detail::ask(q, address, limit); });
--- a/apps/proxy/src/pooled/member_question.hpp
+++ b/apps/proxy/src/pooled/member_question.hpp
@@ -14,6 +14,8 @@
     std::optional<core::term_number> pause_at;
     /// A primary of a lower term becomes a replica.
     std::optional<core::term_number> step_down_at;
+    /// A replica that was paused receives again.
+    bool resume = false;
 };
 
 /// Queries the status of a member on a connection of its own, after `commands`.
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -109,12 +109,14 @@
         if (!about)
             return advance(in, group,
                            takeover::member_answered{a.server, std::nullopt});
-        ask_member(in, *about, {a.pause_replication_at, a.step_down_at},
-                   question_limit,
-                   [&it = in, g = group, server = a.server](
-                       std::optional<takeover::member_report> r) {
-                       advance(it, g, takeover::member_answered{server, r});
-                   });
+        ask_member(
+            in, *about,
+            {a.pause_replication_at, a.step_down_at, a.resume_replication},
+            question_limit,
+            [&it = in, g = group,
+             server = a.server](std::optional<takeover::member_report> r) {
+                advance(it, g, takeover::member_answered{server, r});
+            });
     }
 
     void operator()(const takeover::order_promotion& a) const
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -47,6 +47,8 @@
     std::chrono::milliseconds promotion_settle_time{2000};
     /// How long the request for a promotion may remain unanswered.
     std::chrono::milliseconds promotion_timeout{1000};
+    /// How long an unanswered order may still take effect.
+    std::chrono::milliseconds late_order_limit{7000};
     /// Whether the old primary is revoked before a promotion is ordered. Needed
     /// where it leads on after the promotion until it is told to step down.
     bool revoke_before_promotion = false;
@@ -177,6 +179,8 @@
     std::optional<core::term_number> pause_replication_at;
     /// If set, a primary of a lower term first becomes a replica.
     std::optional<core::term_number> step_down_at;
+    /// Whether a replica that was paused first receives again.
+    bool resume_replication = false;
 };
 
 struct order_promotion
@@ -249,6 +253,10 @@
     std::map<core::server_id, member_report> reports;
     core::server_id target;
     unsigned promotion_attempts = 0;
+    /// Replicas that this host has paused and not resumed.
+    std::set<core::server_id> paused;
+    /// When the last order was sent that has not been answered.
+    std::optional<core::time_point> unanswered_order_at;
     /// Targets whose promotion was refused under this claim because they are
     /// not running.
     std::set<core::server_id> refused_targets;
--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -139,8 +139,8 @@
     if (input.row.holder == ctx.settings.self || view.leaving ||
         view.unreachable || view.primary != input.row.replaced)
         return;
-    ctx.out.push_back(
-        ask_member{input.row.replaced, std::nullopt, view.newest_term + 1});
+    ctx.out.push_back(ask_member{input.row.replaced, std::nullopt,
+                                 view.newest_term + 1, false});
 }
 
 }  // namespace godwitbarrow::takeover::detail
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -44,14 +44,38 @@
            state.primary_stepped_down;
 }
 
+void query_primary(context& ctx)
+{
+    enter_phase(ctx, phase::confirming);
+    ctx.out.push_back(
+        ask_member{*ctx.state.view.primary, std::nullopt, std::nullopt, false});
+}
+
 /// Queries the primary for confirmation, except if it is leaving or unknown.
 void start_takeover(context& ctx)
 {
     if (!ctx.state.view.primary || ctx.state.view.leaving)
         return start_reading_rows(ctx);
-    enter_phase(ctx, phase::confirming);
-    ctx.out.push_back(
-        ask_member{*ctx.state.view.primary, std::nullopt, std::nullopt});
+    query_primary(ctx);
+}
+
+/// Starts a takeover if one is wanted. Otherwise replicas that are still paused
+/// are resumed once the primary has confirmed its role.
+void start_if_needed(context& ctx)
+{
+    if (takeover_wanted(ctx.state))
+        return start_takeover(ctx);
+    if (!ctx.state.paused.empty() && ctx.state.view.primary)
+        return query_primary(ctx);
+    enter_phase(ctx, phase::idle);
+}
+
+/// The primary did not confirm its role.
+void give_up_confirmation(context& ctx)
+{
+    if (takeover_wanted(ctx.state))
+        return start_reading_rows(ctx);
+    pause_for(ctx, ctx.settings.promotion_settle_time);
 }
 
 void handle_confirmation(context& ctx, const member_answered& input)
@@ -61,8 +85,11 @@
     const bool is_primary =
         input.report && input.report->role == core::member_role::primary;
     if (!is_primary)
-        return start_reading_rows(ctx);
+        return give_up_confirmation(ctx);
     ctx.out.push_back(primary_known{input.server, false});
+    resume_replicas(ctx, input.server);
+    if (!ctx.state.paused.empty())
+        return pause_for(ctx, ctx.settings.promotion_settle_time);
     enter_phase(ctx, phase::idle);
 }
 
@@ -85,13 +112,6 @@
     }
 }
 
-void resume_after_pause(context& ctx)
-{
-    if (!takeover_wanted(ctx.state))
-        return enter_phase(ctx, phase::idle);
-    start_takeover(ctx);
-}
-
 void check_timers(context& ctx)
 {
     auto& state = ctx.state;
@@ -99,16 +119,14 @@
     switch (state.current_phase)
     {
         case phase::idle:
-            if (takeover_wanted(state))
-                start_takeover(ctx);
-            return;
+            return start_if_needed(ctx);
         case phase::pausing:
             if (waited >= state.pause_duration)
-                resume_after_pause(ctx);
+                start_if_needed(ctx);
             return;
         case phase::confirming:
             if (waited >= ctx.settings.answer_timeout)
-                start_reading_rows(ctx);
+                give_up_confirmation(ctx);
             return;
         case phase::querying:
             if (waited >= ctx.settings.answer_timeout)
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -22,6 +22,7 @@
         return pause_for(ctx, ctx.settings.retry_delay);
     enter_phase(ctx, phase::promoting);
     ++ctx.state.promotion_attempts;
+    ctx.state.unanswered_order_at = ctx.now;
     ctx.out.push_back(order_promotion{ctx.state.target, ctx.state.token});
 }
 
@@ -101,7 +102,8 @@
     const auto term =
         std::max(ctx.state.newest_term, ctx.state.view.newest_term) + 1;
     enter_phase(ctx, phase::revoking);
-    ctx.out.push_back(ask_member{ctx.state.replaced, std::nullopt, term});
+    ctx.out.push_back(
+        ask_member{ctx.state.replaced, std::nullopt, term, false});
 }
 
 /// Promotes the target at once, or first has the old primary step down. The old
@@ -136,9 +138,12 @@
         state.queried.erase(state.replaced);
     for (const auto& id : state.queried)
     {
-        ask_member query{id, std::nullopt, std::nullopt};
+        ask_member query{id, std::nullopt, std::nullopt, false};
         if (pause_replication)
+        {
             query.pause_replication_at = state.newest_term + 1;
+            state.paused.insert(id);
+        }
         ctx.out.push_back(std::move(query));
     }
     if (state.queried.empty())
@@ -201,11 +206,29 @@
         send_promotion(ctx);
 }
 
+void resume_replicas(context& ctx, const core::server_id& primary)
+{
+    auto& state = ctx.state;
+    // A commit that a resumed replica receives from the old primary is lost if
+    // an order takes effect after that.
+    const bool late_order =
+        state.unanswered_order_at &&
+        ctx.now - *state.unanswered_order_at < ctx.settings.late_order_limit;
+    if (primary == state.replaced && late_order)
+        return;
+    state.paused.erase(primary);
+    for (const auto& id : state.paused)
+        ctx.out.push_back(ask_member{id, std::nullopt, std::nullopt, true});
+    state.paused.clear();
+}
+
 void handle_promotion_answer(context& ctx, const promotion_answered& input)
 {
     auto& state = ctx.state;
     if (state.current_phase != phase::promoting)
         return;
+    if (input.result != order_result::unknown)
+        state.unanswered_order_at.reset();
     if (input.result == order_result::accepted)
     {
         report_step(ctx, "promotion accepted", state.target);
--- a/libs/takeover/src/promoting.hpp
+++ b/libs/takeover/src/promoting.hpp
@@ -21,6 +21,9 @@
 /// Orders the promotion once all hosts have had time to see the claim.
 void promote_if_revoked(context& ctx);
 
+/// Lets the replicas that this host has paused receive from the primary again.
+void resume_replicas(context& ctx, const core::server_id& primary);
+
 void handle_promotion_answer(context& ctx, const promotion_answered& input);
 
 }  // namespace godwitbarrow::takeover::detail
--- a/libs/takeover/test/decide_test.cpp
+++ b/libs/takeover/test/decide_test.cpp
@@ -1,6 +1,7 @@
 #include "godwitbarrow/takeover/decide.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 using namespace godwitbarrow;
 using namespace godwitbarrow::takeover;
@@ -551,3 +552,71 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(replicas_that_were_paused)
+
+struct pausing_host : host
+{
+    pausing_host()
+    {
+        view.synchronous_replicas = 1;
+        claim_takeover();
+        answer("b", 7);
+        answer("c", 9);
+        BOOST_REQUIRE(first_action<order_promotion>());
+    }
+
+    std::set<std::string> resumed() const
+    {
+        std::set<std::string> out;
+        for (const auto& a : last_actions)
+            if (const auto* it = std::get_if<ask_member>(&a))
+                if (it->resume_replication)
+                    out.insert(it->server.value);
+        return out;
+    }
+
+    /// Shows `primary` as reachable after the settle time and confirms it.
+    void confirm(const std::string& primary)
+    {
+        view.primary = core::server_id{primary};
+        observe(false);
+        advance_clock(settings.promotion_settle_time);
+        BOOST_REQUIRE(first_action<ask_member>());
+        answer(primary, 9, core::member_role::primary);
+    }
+};
+
+// Reproduces soak seed 15: the member to promote ended before the promotion
+// took effect and the old primary came back, but its replicas stayed paused, so
+// no commit was acknowledged any more.
+BOOST_FIXTURE_TEST_CASE(receive_again_from_an_old_primary_that_came_back,
+                        pausing_host)
+{
+    handle(promotion_answered{order_result::accepted});
+    confirm("a");
+    BOOST_TEST((resumed() == std::set<std::string>{"b", "c"}));
+    BOOST_TEST(!is_active(state));
+}
+
+BOOST_FIXTURE_TEST_CASE(receive_again_from_the_new_primary, pausing_host)
+{
+    handle(promotion_answered{order_result::accepted});
+    confirm("c");
+    BOOST_TEST((resumed() == std::set<std::string>{"b"}));
+}
+
+// Guards against commits of the old primary that a late promotion discards.
+BOOST_FIXTURE_TEST_CASE(wait_for_an_order_that_may_still_take_effect,
+                        pausing_host)
+{
+    settings.max_promotion_attempts = 1;
+    handle(promotion_answered{order_result::unknown});
+    confirm("a");
+    BOOST_TEST(resumed().empty());
+    advance_clock(settings.late_order_limit);
+    answer("a", 9, core::member_role::primary);
+    BOOST_TEST((resumed() == std::set<std::string>{"b", "c"}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
