--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -96,9 +96,9 @@
                                  std::get<std::uint64_t>(parsed)};
 }
 
-void write(app& it, const std::shared_ptr<service_link>& on, platform::row row,
-           std::optional<std::uint64_t> expected,
-           std::function<void(const takeover::event&)> handler)
+void write(app& it, const std::shared_ptr<service_link>& on,
+           const platform::row& row, std::optional<std::uint64_t> expected,
+           takeover_handler handler)
 {
     call_service(
         it, on, platform::write_row(row, expected), store_limit,
@@ -111,7 +111,7 @@
 
 void read_takeover_rows(app& it, const std::shared_ptr<service_link>& on,
                         const core::group_id& group,
-                        std::function<void(const takeover::event&)> handler)
+                        const takeover_handler& handler)
 {
     const auto read_claim =
         [&it, on, group, handler](const takeover::rows_read& votes)
@@ -143,26 +143,24 @@
 void write_claim_row(app& it, const std::shared_ptr<service_link>& on,
                      const core::group_id& group,
                      const takeover::write_claim& what,
-                     std::function<void(const takeover::event&)> handler)
+                     takeover_handler handler)
 {
     platform::row row;
     row.table = detail::claim_table;
     row.key = group.value;
     row.value = takeover::encode(what.row);
-    detail::write(it, on, std::move(row), what.expected_version,
-                  std::move(handler));
+    detail::write(it, on, row, what.expected_version, std::move(handler));
 }
 
 void write_vote_row(app& it, const std::shared_ptr<service_link>& on,
                     const core::group_id& group,
-                    const takeover::write_vote& what,
-                    std::function<void(const takeover::event&)> handler)
+                    const takeover::write_vote& what, takeover_handler handler)
 {
     platform::row row;
     row.table = detail::vote_table;
     row.key = detail::vote_prefix(group) + it.settings.name.value;
     row.value = takeover::encode(what.row);
-    detail::write(it, on, std::move(row), std::nullopt, std::move(handler));
+    detail::write(it, on, row, std::nullopt, std::move(handler));
 }
 
 void watch_claims(
--- a/libs/pooler/test/read_placement_test.cpp
+++ b/libs/pooler/test/read_placement_test.cpp
@@ -55,7 +55,7 @@
                 sent = first_of<send_to_member>();
         }
         BOOST_REQUIRE(sent);
-        const auto server = server_of(sent->connection);
+        auto server = server_of(sent->connection);
         succeed(sent->connection, {1, 5}, session_state::idle, "signed");
         return server;
     }
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -78,10 +78,10 @@
 /// may have been acknowledged, and its log outlives it.
 std::optional<candidate> find_target(const takeover_state& state)
 {
-    const auto staying = find_best(state, false);
+    auto staying = find_best(state, false);
     if (state.view.synchronous_replicas == 0)
         return staying;
-    const auto leaving = find_best(state, true);
+    auto leaving = find_best(state, true);
     if (!staying || (leaving && staying->received < leaving->received))
         return leaving;
     return staying;
--- a/test/soak/src/main.cpp
+++ b/test/soak/src/main.cpp
@@ -25,7 +25,6 @@
 
 namespace fs = std::filesystem;
 namespace core = godwitbarrow::core;
-using godwitbarrow::standins::call_after;
 using namespace std::chrono_literals;
 
 /// Service is back this long after all faults are over.
