Repeat the request to step down until the promotion has settled

Change: the holder of the claim repeats the request every 200 ms. New test of decide_test. A host that the store does not reach and a primary that no other host reaches remain open (docs/platform.md).

--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -55,6 +55,8 @@
     /// How long a promotion waits for the hosts to see the claim if the old
     /// primary does not confirm that it has stepped down.
     std::chrono::milliseconds revocation_delay{300};
+    /// Interval of the requests to step down that were not confirmed.
+    std::chrono::milliseconds step_down_interval{200};
     /// Number of attempts at the same promotion that may remain unanswered.
     unsigned max_promotion_attempts = 4;
 };
@@ -249,6 +251,11 @@
     core::time_point claimed_at;
     /// Whether that primary has become a replica and has no successor yet.
     bool primary_stepped_down = false;
+    /// Last request to step down that was not confirmed. It is repeated until
+    /// the promotion has settled, since a crashed primary may come back before
+    /// that and lead on.
+    std::optional<core::time_point> step_down_requested_at;
+    core::term_number step_down_term = 0;
     std::set<core::server_id> queried;
     std::map<core::server_id, member_report> reports;
     core::server_id target;
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -99,31 +99,27 @@
     if (input.report)
         state.newest_term =
             std::max(state.newest_term, input.report->newest_term);
-    switch (state.current_phase)
-    {
-        case phase::confirming:
-            return handle_confirmation(ctx, input);
-        case phase::querying:
-            return handle_report(ctx, input);
-        case phase::revoking:
-            return handle_step_down(ctx, input);
-        default:
-            return;
-    }
+    handle_step_down(ctx, input);
+    if (state.current_phase == phase::confirming)
+        return handle_confirmation(ctx, input);
+    if (state.current_phase == phase::querying)
+        handle_report(ctx, input);
 }
 
 void check_timers(context& ctx)
 {
     auto& state = ctx.state;
     const auto waited = ctx.now - state.phase_entered_at;
+    repeat_step_down(ctx);
     switch (state.current_phase)
     {
         case phase::idle:
             return start_if_needed(ctx);
         case phase::pausing:
-            if (waited >= state.pause_duration)
-                start_if_needed(ctx);
-            return;
+            if (waited < state.pause_duration)
+                return;
+            state.step_down_requested_at.reset();
+            return start_if_needed(ctx);
         case phase::confirming:
             if (waited >= ctx.settings.answer_timeout)
                 give_up_confirmation(ctx);
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -99,11 +99,12 @@
 
 void request_step_down(context& ctx)
 {
-    const auto term =
-        std::max(ctx.state.newest_term, ctx.state.view.newest_term) + 1;
-    enter_phase(ctx, phase::revoking);
+    auto& state = ctx.state;
+    state.step_down_requested_at = ctx.now;
+    state.step_down_term =
+        std::max(state.newest_term, state.view.newest_term) + 1;
     ctx.out.push_back(
-        ask_member{ctx.state.replaced, std::nullopt, term, false});
+        ask_member{state.replaced, std::nullopt, state.step_down_term, false});
 }
 
 /// Promotes the target at once, or first has the old primary step down. The old
@@ -117,6 +118,7 @@
     if (!revoke)
         return send_promotion(ctx);
     ctx.out.push_back(revoke_primary{ctx.state.replaced, ctx.state.token});
+    enter_phase(ctx, phase::revoking);
     request_step_down(ctx);
 }
 
@@ -188,16 +190,28 @@
 void handle_step_down(context& ctx, const member_answered& input)
 {
     auto& state = ctx.state;
-    if (input.server != state.replaced || !input.report)
+    if (!state.step_down_requested_at || input.server != state.replaced ||
+        !input.report)
         return;
-    if (input.report->role == core::member_role::replica)
+    if (input.report->role == core::member_role::primary)
     {
-        state.primary_stepped_down = true;
-        report_step(ctx, "primary stepped down", input.server);
-        return send_promotion(ctx);
+        if (input.report->newest_term >= state.step_down_term)
+            request_step_down(ctx);
+        return;
     }
-    // The term of the request was not above that of the primary.
-    request_step_down(ctx);
+    state.step_down_requested_at.reset();
+    report_step(ctx, "primary stepped down", input.server);
+    if (state.current_phase != phase::revoking)
+        return;
+    state.primary_stepped_down = true;
+    send_promotion(ctx);
+}
+
+void repeat_step_down(context& ctx)
+{
+    const auto& last = ctx.state.step_down_requested_at;
+    if (last && ctx.now - *last >= ctx.settings.step_down_interval)
+        request_step_down(ctx);
 }
 
 void promote_if_revoked(context& ctx)
--- a/libs/takeover/src/promoting.hpp
+++ b/libs/takeover/src/promoting.hpp
@@ -18,6 +18,9 @@
 /// Handles the answer of the old primary to a step-down request.
 void handle_step_down(context& ctx, const member_answered& input);
 
+/// Repeats a step-down request that was not confirmed, if it is due.
+void repeat_step_down(context& ctx);
+
 /// Orders the promotion once all hosts have had time to see the claim.
 void promote_if_revoked(context& ctx);
 
--- a/libs/takeover/test/decide_test.cpp
+++ b/libs/takeover/test/decide_test.cpp
@@ -480,6 +480,28 @@
     BOOST_TEST(first_action<order_promotion>().has_value());
 }
 
+// Reproduces soak seed 19 without fencing: the crashed primary came back
+// between the order and the promotion, and a host that the store did not reach
+// used it.
+BOOST_FIXTURE_TEST_CASE(steps_down_if_it_comes_back_after_the_order,
+                        revoking_host)
+{
+    claim_takeover();
+    answer("b", 9);
+    answer("c", 7);
+    no_answer("a");
+    advance_clock(settings.revocation_delay);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    handle(promotion_answered{order_result::accepted});
+    advance_clock(settings.step_down_interval);
+    BOOST_REQUIRE(first_action<ask_member>());
+    BOOST_TEST(first_action<ask_member>()->server.value == "a");
+    BOOST_TEST(first_action<ask_member>()->step_down_at.has_value());
+    answer("a", 9);
+    advance_clock(settings.step_down_interval);
+    BOOST_TEST(!first_action<ask_member>().has_value());
+}
+
 // Guards against a group without a primary after its old primary has stepped
 // down and the first promotion was refused.
 BOOST_FIXTURE_TEST_CASE(is_replaced_although_the_first_order_was_refused,
