Keep a revocation while the registration of the old primary is missing

Cause, found by reading the change: an old primary whose registration expired while it was cut off was used again when it registered anew; a renewed claim restarted the time in which commits of the old primary count as kept; and a claim of a later store time revoked a primary.

Result: two new tests of revocation_test failed before and pass.

--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -168,21 +168,21 @@
     std::function<void(const core::group_id& group, const takeover::claim& row)>
         handler)
 {
-    watch_table(
-        it, detail::claim_table, detail::claim_wait,
-        [max_age, handler = std::move(handler)](const platform::row_page& page,
-                                                bool)
-        {
-            for (const auto& row : page.rows)
-            {
-                takeover::rows_read found;
-                if (!row.deleted)
-                    detail::add_claim(found, row);
-                if (found.last_claim &&
-                    page.store_time - found.last_claim->claimed_at < max_age)
-                    handler({row.key}, *found.last_claim);
-            }
-        });
+    watch_table(it, detail::claim_table, detail::claim_wait,
+                [max_age, handler = std::move(handler)](
+                    const platform::row_page& page, bool)
+                {
+                    for (const auto& row : page.rows)
+                    {
+                        takeover::rows_read found;
+                        if (!row.deleted)
+                            detail::add_claim(found, row);
+                        const auto& made = found.last_claim;
+                        if (made && made->claimed_at <= page.store_time &&
+                            page.store_time - made->claimed_at < max_age)
+                            handler({row.key}, *made);
+                    }
+                });
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -244,7 +244,8 @@
 {
     core::server_id server;
     core::time_point since;
-    /// Version of its registration at that time.
+    core::time_point renewed_at;
+    /// Version of its registration when it was revoked.
     std::uint64_t version = 0;
     /// Whether another member has become the primary.
     bool replaced = false;
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -170,7 +170,7 @@
         n.detail = "a host has claimed to replace it";
         ctx.out.push_back(std::move(n));
     }
-    revoke_primary(g->second, what.server, ctx.now);
+    revoke_primary(g->second, what.server, ctx.pooler.settings, ctx.now);
     dispatch(ctx, g->second);
 }
 
--- a/libs/pooler/src/freshness.cpp
+++ b/libs/pooler/src/freshness.cpp
@@ -62,16 +62,16 @@
 }
 
 void revoke_primary(group& it, const core::server_id& server,
-                    core::time_point now)
+                    const pooler_settings& settings, core::time_point now)
 {
-    if (it.revoked && it.revoked->server == server)
+    if (is_revoked(it, server, settings, now))
     {
-        it.revoked->since = now;
+        it.revoked->renewed_at = now;
         return;
     }
     const auto m = it.members.find(server);
     const auto version = m == it.members.end() ? 0 : m->second.record.version;
-    it.revoked = revocation{server, now, version, false};
+    it.revoked = revocation{server, now, now, version, false};
 }
 
 bool is_revoked(const group& it, const core::server_id& server,
@@ -80,21 +80,22 @@
     if (!it.revoked || it.revoked->server != server)
         return false;
     return it.revoked->replaced ||
-           now - it.revoked->since < settings.revocation_limit;
+           now - it.revoked->renewed_at < settings.revocation_limit;
 }
 
 namespace
 {
 
-/// Ends the revocation of a member that has become a replica.
+/// Ends the revocation of a member that has become a replica. A missing
+/// registration shows nothing: it may have expired while the store was away.
 void end_revocation(group& it)
 {
     if (!it.revoked)
         return;
     const auto m = it.members.find(it.revoked->server);
-    if (m == it.members.end() ||
-        (m->second.record.role == core::member_role::replica &&
-         m->second.record.version > it.revoked->version))
+    if (m != it.members.end() &&
+        m->second.record.role == core::member_role::replica &&
+        m->second.record.version > it.revoked->version)
         it.revoked.reset();
 }
 
--- a/libs/pooler/src/freshness.hpp
+++ b/libs/pooler/src/freshness.hpp
@@ -16,7 +16,7 @@
 
 /// Stops the use of the member as the primary.
 void revoke_primary(group& it, const core::server_id& server,
-                    core::time_point now);
+                    const pooler_settings& settings, core::time_point now);
 
 /// Whether the member must not be used as the primary.
 bool is_revoked(const group& it, const core::server_id& server,
--- a/libs/pooler/test/revocation_test.cpp
+++ b/libs/pooler/test/revocation_test.cpp
@@ -96,6 +96,24 @@
     BOOST_TEST(!uses_old_primary());
 }
 
+// Guards against an old primary whose registration expired while it was cut
+// off.
+BOOST_FIXTURE_TEST_CASE(do_not_return_to_it_when_it_registers_again,
+                        revoking_fixture)
+{
+    start(1, "newest");
+    revoke();
+    report("near", core::member_role::primary);
+    auto old = registration_of("primary");
+    members.erase(members.begin());
+    publish();
+    old.version = ++registered;
+    members.push_back(old);
+    publish();
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(!uses_old_primary());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(a_transaction_on_the_old_primary)
@@ -147,6 +165,20 @@
     BOOST_TEST(outcome(1) == "in doubt");
 }
 
+// Guards against a second claim that restarts the time in which commits count.
+BOOST_FIXTURE_TEST_CASE(late_is_in_doubt_although_a_claim_was_renewed,
+                        revoking_fixture)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    revoke();
+    wait(pooler_state.settings.revoked_commit_limit);
+    revoke();
+    succeed(c, {1, 6}, session_state::idle, "signed");
+    BOOST_TEST(outcome(1) == "in doubt");
+}
+
 BOOST_FIXTURE_TEST_CASE(after_another_member_leads_is_in_doubt,
                         revoking_fixture)
 {
