--- a/review/standin/release_synchronous.cpp
+++ b/review/standin/release_synchronous.cpp
@@ -41,6 +41,8 @@
     /// Term of the pause; 0 if it receives.
     std::uint64_t paused_at = 0;
     std::size_t held = 0;
+    /// Whether it reports that it will leave.
+    bool draining = false;
     /// Commits that it holds since it joined or was promoted.
     std::size_t joined = 0;
 
@@ -260,7 +262,7 @@
     s.close();
 }
 
-void announce(platform& p, const replicated_member& m, bool draining)
+void announce(platform& p, const replicated_member& m)
 {
     const bool leads = m.in.primary == m.id;
     p.put("servers", m.id,
@@ -269,7 +271,7 @@
                        {"zone", m.zone},
                        {"version", "v1"},
                        {"slots", 6},
-                       {"state", draining ? "draining" : "ready"},
+                       {"state", m.draining ? "draining" : "ready"},
                        {"cold_left_ms", 0},
                        {"db_role", leads ? "primary" : "replica"},
                        {"seq", 1},
@@ -332,7 +334,7 @@
                between_zones);
         db.add(std::string("i-") + name + "-r", "alex-smouha", between_regions);
         for (const auto& [id, m] : db.members)
-            announce(store, *m, false);
+            announce(store, *m);
         routes.push_back(
             route(std::string("grants-") + name, name, "primary", 0));
         services.push_back(json::object{
@@ -360,8 +362,7 @@
                 db.promoted(id);
                 std::lock_guard lock2(db.mutex);
                 for (const auto& [key, m] : db.members)
-                    if (key == id)
-                        announce(store, *m, false);
+                    announce(store, *m);
             })
             .detach();
         return 200;
@@ -389,12 +390,13 @@
                 std::lock_guard lock(db->mutex);
                 auto& fresh =
                     db->add("i-" + name + "-s", "cairo-zamalek", in_zone);
-                announce(store, fresh, false);
+                announce(store, fresh);
             }
             sleep_ms(1000);
             std::lock_guard lock(db->mutex);
             record("%s reports that it drains", old.c_str());
-            announce(store, *db->members.at(old), true);
+            db->members.at(old)->draining = true;
+            announce(store, *db->members.at(old));
         }
         sleep_ms(4000);
     }
