--- a/review/standin/release_synchronous.cpp
+++ b/review/standin/release_synchronous.cc
@@ -5,7 +5,7 @@
 
 #include <random>
 
-#include "standin.hpp"
+#include "standin.hh"
 
 using namespace standin;
 using std::chrono::microseconds;
--- a/review/standin/setup_refused.cpp
+++ b/review/standin/setup_refused.cc
@@ -2,7 +2,7 @@
 // requests. Each statement must run with the values that were acknowledged to
 // its client.
 
-#include "standin.hpp"
+#include "standin.hh"
 
 using namespace standin;
 
--- a/review/standin/smuggled_line.cpp
+++ b/review/standin/smuggled_line.cc
@@ -2,7 +2,7 @@
 // return. A message ends in CR LF, so this is one statement: it is run as it
 // is or it is refused. What follows the line feed must not run by itself.
 
-#include "standin.hpp"
+#include "standin.hh"
 
 using namespace standin;
 
--- a/review/standin/term_transactions.cpp
+++ b/review/standin/term_transactions.cc
@@ -4,7 +4,7 @@
 
 #include <random>
 
-#include "standin.hpp"
+#include "standin.hh"
 
 using namespace standin;
 
