Show that odd entries cut off the list of members after a restart

Cause: a table is read with one call, and the mark that the store has more rows is not looked at. Nothing is fixed.

--- a/review/standin/standin.hh
+++ b/review/standin/standin.hh
@@ -327,6 +327,9 @@
 /// The metadata store in the form "table", and POST /promote.
 struct platform
 {
+    static constexpr std::size_t rows_of_a_page = 500;
+    static constexpr std::size_t bytes_of_a_page = 1'000'000;
+
     struct row
     {
         std::string value;
@@ -360,6 +363,15 @@
         changed.notify_all();
     }
 
+    /// Writes a value of any bytes, as another writer may.
+    void put_bytes(const std::string& table, const std::string& key,
+                   const std::string& value)
+    {
+        std::lock_guard lock(mutex);
+        tables[table][key] = {value, ++version, false};
+        changed.notify_all();
+    }
+
     void run(int fd)
     {
         line_socket s{fd, {}};
@@ -399,10 +411,10 @@
         return out;
     }
 
-    http_reply page(json::array rows)
+    http_reply page(json::array rows, bool has_more = false)
     {
         return {200, json::serialize(json::object{{"rows", std::move(rows)},
-                                                  {"has_more", false},
+                                                  {"has_more", has_more},
                                                   {"ver", version},
                                                   {"now_ms", now_ms()}})};
     }
@@ -436,8 +448,20 @@
         if (r.path == "/rows-get")
         {
             std::lock_guard lock(mutex);
-            return page(rows_of(r.query["table"], 0, false, r.query["from"],
-                                r.query["to"]));
+            auto rows = rows_of(r.query["table"], 0, false, r.query["from"],
+                                r.query["to"]);
+            std::size_t fits = 0;
+            std::size_t bytes = 0;
+            while (fits < rows.size() && fits < rows_of_a_page)
+            {
+                bytes += json::serialize(rows[fits]).size();
+                if (bytes > bytes_of_a_page)
+                    break;
+                ++fits;
+            }
+            const bool has_more = fits < rows.size();
+            rows.resize(fits);
+            return page(std::move(rows), has_more);
         }
         if (r.path == "/rows-feed")
         {
