--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -148,7 +148,9 @@
         case verb::execute:
             return forward(ctx, number, s);
         default:
-            return answer_locally(ctx, number, malformed("unknown statement"));
+            return answer_locally(
+                ctx, number,
+                malformed("unknown statement, or a line break inside it"));
     }
 }
 
--- a/libs/stream/src/connection.cpp
+++ b/libs/stream/src/connection.cpp
@@ -22,7 +22,8 @@
 namespace detail
 {
 constexpr std::size_t first_buffer_bytes = 4096;
-}
+constexpr std::string_view line_end = "\r\n";
+}  // namespace detail
 
 struct connection
 {
@@ -42,7 +43,7 @@
     limits within;
     std::string input = std::string(detail::first_buffer_bytes, '\0');
     std::size_t filled = 0;
-    /// Bytes of the unfinished line that hold no line end.
+    /// Bytes of the unfinished line that hold no part of a line end.
     std::size_t searched = 0;
     std::string sending;
     std::string unsent;
@@ -97,20 +98,20 @@
                                          std::max(1, limit / 1000 - 1));
 }
 
-/// Hands on the complete lines. False if the connection was closed.
+/// Hands on the complete lines. False if the connection was closed. A line feed
+/// or a carriage return alone is part of its line: a peer that ends lines only
+/// at CR LF must not see two messages where this side saw one, or the reverse.
 bool deliver_lines(const connection_ptr& it)
 {
     std::size_t begin = 0;
     while (true)
     {
         const std::string_view all(it->input.data(), it->filled);
-        const auto end = all.find('\n', std::max(begin, it->searched));
+        const auto end = all.find(line_end, std::max(begin, it->searched));
         if (end == std::string_view::npos)
             break;
-        auto line = all.substr(begin, end - begin);
-        if (!line.empty() && line.back() == '\r')
-            line.remove_suffix(1);
-        begin = end + 1;
+        const auto line = all.substr(begin, end - begin);
+        begin = end + line_end.size();
         it->searched = begin;
         if (!it->closing)
             it->on.received(line);
@@ -119,7 +120,8 @@
     }
     it->input.erase(0, begin);
     it->filled -= begin;
-    it->searched = it->filled;
+    const bool half_end = it->filled > 0 && it->input[it->filled - 1] == '\r';
+    it->searched = half_end ? it->filled - 1 : it->filled;
     return true;
 }
 
--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -287,6 +287,18 @@
     BOOST_TEST(it.query("READ 1") == "ROW none | DONE sig | READY I -");
 }
 
+// Guards against a statement that a caller smuggles into another one behind a
+// line feed: both parts used to run.
+BOOST_FIXTURE_TEST_CASE(that_put_a_statement_behind_a_line_feed, deployment)
+{
+    caller it(port, "newest");
+    it.line();
+    BOOST_TEST(it.query("WRITE 1 x\nQUERY smuggled WRITE 1 y")
+                   .rfind("ERROR MALFORMED", 0) == 0U);
+    BOOST_TEST(it.query("READ 1") == "ROW none | DONE sig | READY I -");
+    at_standins([&] { BOOST_TEST(data->writes == 0U); });
+}
+
 BOOST_FIXTURE_TEST_CASE(that_leave_inside_a_transaction, deployment)
 {
     for (int n = 0; n < 20; ++n)
