Pause replicas above the newest term and count no others

query_members asked for a pause at the newest term that members had reported to this process, plus one. At the first takeover that is 1, and members ignore a pause that is not above the newest term, so they received on while the promotion took effect. The term of the view counts now as well, as it did for a step-down. A report tells the term of the pause, and one of a replica that still receives is logged, dropped and asked for again at a newer term, so positions are compared only once they are final.

--- a/apps/proxy/src/pooled/member_question.cpp
+++ b/apps/proxy/src/pooled/member_question.cpp
@@ -65,7 +65,8 @@
         return finish(q, std::nullopt);
     }
     const auto& n = std::get<platform::member_report>(parsed);
-    finish(q, takeover::member_report{n.role, n.newest_term, n.received});
+    finish(q, takeover::member_report{n.role, n.newest_term, n.received,
+                                      n.paused_at});
 }
 
 void take_line(const question_ptr& q, std::string_view line)
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -88,6 +88,8 @@
     core::member_role role = core::member_role::replica;
     core::term_number newest_term = 0;
     core::log_position received;
+    /// Term at which it stopped receiving from the primary; 0 if it receives.
+    core::term_number paused_at = 0;
 };
 
 struct group_view_updated
@@ -262,6 +264,8 @@
     unsigned promotion_attempts = 0;
     /// Replicas that this host has paused and not resumed.
     std::set<core::server_id> paused;
+    /// Terms of the pauses that the current queries ask for.
+    std::map<core::server_id, core::term_number> pause_terms;
     /// When the last order was sent that has not been answered.
     std::optional<core::time_point> unanswered_order_at;
     /// Targets whose promotion was refused under this claim because they are
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -97,12 +97,67 @@
         state.reports.erase(id);
 }
 
+/// Returns a term above all that this host knows of. Members ignore a pause or
+/// a step-down at any other term.
+core::term_number next_term(const takeover_state& state)
+{
+    return std::max(state.newest_term, state.view.newest_term) + 1;
+}
+
+bool pauses_replication(const takeover_state& state)
+{
+    return state.view.synchronous_replicas > 0;
+}
+
+/// Returns whether the member receives nothing more, so that the position in
+/// its report is final. A member that leads has no pause.
+bool has_stopped(const takeover_state& state, const member_report& report)
+{
+    if (!pauses_replication(state) || report.role == core::member_role::primary)
+        return true;
+    return report.paused_at > 0 && report.paused_at >= state.newest_term;
+}
+
+void query_member(context& ctx, const core::server_id& id)
+{
+    auto& state = ctx.state;
+    ask_member query{id, std::nullopt, std::nullopt, false};
+    if (pauses_replication(state))
+    {
+        query.pause_replication_at = next_term(state);
+        state.pause_terms[id] = *query.pause_replication_at;
+        state.paused.insert(id);
+    }
+    ctx.out.push_back(std::move(query));
+}
+
+/// Drops the reports of replicas that still receive and asks them again, once
+/// for each newer term that became known.
+void repeat_pauses(context& ctx)
+{
+    auto& state = ctx.state;
+    for (auto it = state.reports.begin(); it != state.reports.end();)
+    {
+        const auto& [id, report] = *it;
+        if (has_stopped(state, report))
+        {
+            ++it;
+            continue;
+        }
+        report_step(ctx, "replica not paused", id,
+                    "paused at " + std::to_string(report.paused_at) +
+                        ", newest term " + std::to_string(state.newest_term));
+        if (state.pause_terms[id] < next_term(state))
+            query_member(ctx, id);
+        it = state.reports.erase(it);
+    }
+}
+
 void request_step_down(context& ctx)
 {
     auto& state = ctx.state;
     state.step_down_requested_at = ctx.now;
-    state.step_down_term =
-        std::max(state.newest_term, state.view.newest_term) + 1;
+    state.step_down_term = next_term(state);
     ctx.out.push_back(
         ask_member{state.replaced, std::nullopt, state.step_down_term, false});
 }
@@ -130,24 +185,15 @@
     enter_phase(ctx, phase::querying);
     state.queried.clear();
     state.reports.clear();
-    const bool pause_replication = state.view.synchronous_replicas > 0;
     for (const auto& id : state.view.candidates)
         state.queried.insert(id);
-    if (pause_replication)
+    if (pauses_replication(state))
         state.queried.insert(state.view.leaving_members.begin(),
                              state.view.leaving_members.end());
     if (!state.primary_stepped_down)
         state.queried.erase(state.replaced);
     for (const auto& id : state.queried)
-    {
-        ask_member query{id, std::nullopt, std::nullopt, false};
-        if (pause_replication)
-        {
-            query.pause_replication_at = state.newest_term + 1;
-            state.paused.insert(id);
-        }
-        ctx.out.push_back(std::move(query));
-    }
+        query_member(ctx, id);
     if (state.queried.empty())
         pause_for(ctx, ctx.settings.retry_delay);
 }
@@ -161,6 +207,7 @@
         state.reports[input.server] = *input.report;
     else if (state.view.synchronous_replicas == 0)
         state.queried.erase(input.server);
+    repeat_pauses(ctx);
     if (state.reports.size() >= state.queried.size())
         choose_target(ctx);
 }
--- a/libs/takeover/test/decide_test.cpp
+++ b/libs/takeover/test/decide_test.cpp
@@ -1,6 +1,7 @@
 #include "godwitbarrow/takeover/decide.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <set>
 
 using namespace godwitbarrow;
@@ -19,6 +20,10 @@
     core::time_point now{1000s};
     actions last_actions;
     std::chrono::milliseconds store_time{50000};
+    /// Newest term of the group, which the members report.
+    core::term_number newest_term = 3;
+    /// Members that stopped receiving, and at which term.
+    std::map<std::string, core::term_number> paused;
 
     host()
     {
@@ -26,11 +31,22 @@
         view.primary = core::server_id{"a"};
         view.candidates = {{"b"}, {"c"}};
         view.live_hosts = 4;
+        view.newest_term = newest_term;
     }
 
     void handle(const event& input)
     {
         last_actions = decide(state, settings, input, now);
+        for (const auto& a : last_actions)
+            if (const auto* it = std::get_if<ask_member>(&a))
+                pause_if_asked(*it);
+    }
+
+    /// A member ignores a pause at a term that is not above the newest one.
+    void pause_if_asked(const ask_member& query)
+    {
+        if (query.pause_replication_at.value_or(0) > newest_term)
+            paused[query.server.value] = *query.pause_replication_at;
     }
 
     void observe(bool unreachable, bool leaving = false)
@@ -53,7 +69,10 @@
     void answer(const std::string& id, std::uint64_t received,
                 core::member_role role = core::member_role::replica)
     {
-        handle(member_answered{{id}, member_report{role, 3, {3, received}}});
+        handle(member_answered{
+            {id},
+            member_report{
+                role, newest_term, {newest_term, received}, paused[id]}});
     }
 
     void no_answer(const std::string& id)
@@ -365,6 +384,93 @@
     BOOST_TEST(!first_action<order_promotion>().has_value());
 }
 
+BOOST_AUTO_TEST_SUITE(if_replicas_receive_on)
+
+using pause_terms = std::map<std::string, core::term_number>;
+
+struct releasing_host : host
+{
+    releasing_host()
+    {
+        view.synchronous_replicas = 1;
+    }
+
+    /// Claims the takeover of a leaving primary, whose term is not asked for.
+    void claim_of_leaving()
+    {
+        observe(false, true);
+        handle(rows_with_votes(0));
+        handle(row_written{write_result::done, 10});
+    }
+
+    /// Terms of the pauses that the last event asked for.
+    pause_terms pauses() const
+    {
+        pause_terms out;
+        for (const auto& a : last_actions)
+            if (const auto* it = std::get_if<ask_member>(&a))
+                if (it->pause_replication_at)
+                    out[it->server.value] = *it->pause_replication_at;
+        return out;
+    }
+};
+
+// Guards against a pause that members ignore because its term is not above the
+// newest one: the promoted replica then lacked commits that another replica had
+// received and that were acknowledged (review case 1).
+BOOST_FIXTURE_TEST_CASE(pauses_them_above_the_term_of_the_primary,
+                        releasing_host)
+{
+    claim_of_leaving();
+    BOOST_TEST((pauses() == pause_terms{{"b", 4}, {"c", 4}}));
+}
+
+BOOST_FIXTURE_TEST_CASE(pauses_them_again_above_the_term_that_they_report,
+                        releasing_host)
+{
+    view.newest_term = 0;
+    claim_of_leaving();
+    answer("b", 45);
+    BOOST_TEST((pauses() == pause_terms{{"b", 4}}));
+    answer("c", 47);
+    BOOST_TEST((pauses() == pause_terms{{"c", 4}}));
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    answer("b", 50);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    answer("c", 49);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    BOOST_TEST(first_action<order_promotion>()->server.value == "b");
+}
+
+BOOST_FIXTURE_TEST_CASE(pauses_all_again_if_one_reports_a_newer_term,
+                        releasing_host)
+{
+    claim_of_leaving();
+    answer("b", 45);
+    newest_term = 5;
+    paused.erase("c");
+    answer("c", 47);
+    BOOST_TEST((pauses() == pause_terms{{"b", 6}, {"c", 6}}));
+    answer("c", 47);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    answer("b", 45);
+    BOOST_TEST(first_action<order_promotion>().has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(promotes_none_and_asks_each_once_a_term, releasing_host)
+{
+    claim_of_leaving();
+    paused.clear();
+    answer("b", 45);
+    BOOST_TEST(pauses().empty());
+    answer("c", 47);
+    BOOST_TEST(pauses().empty());
+    advance_clock(settings.answer_timeout);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_CASE(repeats_an_order_that_was_not_answered, host)
