End transactions that have sent nothing at a shutdown

Half of the grace ended only transactions with a connection, and late statements were refused only outside transactions.

A transaction without a connection ends at the same limit, and each statement of a transaction is checked as it arrives, not only at ticks. A BEGIN after the limit is refused as busy, since its first statement would be too late. A commit of a transaction that was busy at the limit is still passed on until statements are refused altogether. The reason given for such an end is the shutdown, no longer the idle limit.

--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -1,11 +1,14 @@
 #include "expiry.hpp"
 
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "answers.hpp"
 #include "connections.hpp"
 #include "placement.hpp"
 #include "sessions.hpp"
+#include "shutdown.hpp"
 
 namespace godwitbarrow::pooler::detail
 {
@@ -80,16 +83,35 @@
     }
 }
 
-bool is_transaction_expired(const context& ctx, const caller_session& s)
+/// Whether the open transaction holds its connection without using it for too
+/// long.
+bool is_idle_too_long(const context& ctx, const caller_session& s)
 {
-    if (s.tx.phase != transaction_phase::open || s.current)
-        return false;
     const auto& limit = ctx.pooler.active_configuration.transaction_idle;
-    if (limit.count() > 0 && ctx.now - s.idle_since >= limit)
-        return true;
-    return ctx.pooler.shutdown_since &&
-           ctx.now - *ctx.pooler.shutdown_since >=
-               ctx.pooler.settings.shutdown_transactions;
+    return s.tx.phase == transaction_phase::open && limit.count() > 0 &&
+           ctx.now - s.idle_since >= limit;
+}
+
+/// Returns why the transaction of a session without a running statement ends,
+/// or nothing if it goes on.
+std::string expiry_reason(const context& ctx, const caller_session& s)
+{
+    const bool ongoing = s.tx.phase == transaction_phase::open ||
+                         s.tx.phase == transaction_phase::deferred;
+    if (!ongoing || s.current)
+        return {};
+    if (is_idle_too_long(ctx, s))
+        return "transaction idle limit exceeded";
+    return ends_transactions(ctx) ? "this host is shutting down" : "";
+}
+
+void expire_transaction(context& ctx, caller_session& s, std::string reason)
+{
+    if (s.tx.phase == transaction_phase::open)
+        roll_back(ctx, s.tx.connection);
+    s.tx.connection = 0;
+    s.tx.phase = transaction_phase::failed;
+    s.tx.unreported_reason = std::move(reason);
 }
 
 void expire_sessions(context& ctx)
@@ -97,13 +119,8 @@
     std::vector<session_number> close;
     for (auto& [number, s] : ctx.pooler.sessions)
     {
-        if (is_transaction_expired(ctx, s))
-        {
-            roll_back(ctx, s.tx.connection);
-            s.tx.connection = 0;
-            s.tx.phase = transaction_phase::failed;
-            s.tx.unreported_reason = "transaction idle limit exceeded";
-        }
+        if (auto reason = expiry_reason(ctx, s); !reason.empty())
+            expire_transaction(ctx, s, std::move(reason));
         const bool idle = !s.current && s.tx.phase == transaction_phase::none;
         if (ctx.pooler.shutdown_since && idle &&
             ctx.now - s.idle_since >= ctx.pooler.settings.shutdown_idle)
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -4,6 +4,7 @@
 
 #include "connections.hpp"
 #include "placement.hpp"
+#include "shutdown.hpp"
 
 namespace godwitbarrow::pooler::detail
 {
@@ -159,14 +160,6 @@
     return all.active_configuration.version > 0;
 }
 
-/// Whether a shutdown has progressed too far to accept new statements.
-bool is_closing(const context& ctx)
-{
-    return ctx.pooler.shutdown_since &&
-           ctx.now - *ctx.pooler.shutdown_since >=
-               ctx.pooler.settings.shutdown_statements;
-}
-
 bool needs_route(verb it)
 {
     return it != verb::set && it != verb::prepare && it != verb::deallocate;
@@ -185,12 +178,14 @@
     return true;
 }
 
-/// Refuses the statement and disconnects the caller, so that it reconnects
-/// through another host.
-void refuse_and_close(context& ctx, session_number number)
+/// Refuses the statement because of a shutdown. A caller outside a transaction
+/// is disconnected, so that it reconnects through another host.
+void refuse_late(context& ctx, session_number number)
 {
-    answer_locally(ctx, number,
-                   failure{failure_code::busy, "this host is shutting down"});
+    constexpr auto reason = "this host is shutting down";
+    if (ctx.pooler.sessions.at(number).tx.phase != transaction_phase::none)
+        return fail_statement(ctx, number, failure_code::aborted, reason);
+    answer_locally(ctx, number, failure{failure_code::busy, reason});
     if (ctx.pooler.sessions.count(number) > 0)
         close_session(ctx, number);
 }
@@ -201,8 +196,8 @@
     s.current.emplace();
     s.current->request = std::move(what);
     s.current->arrived = ctx.now;
-    if (is_closing(ctx) && s.tx.phase == transaction_phase::none)
-        return refuse_and_close(ctx, number);
+    if (comes_too_late(ctx, s, s.current->request.stmt))
+        return refuse_late(ctx, number);
     if (!is_configured(ctx.pooler) && needs_route(s.current->request.stmt.kind))
         return answer_locally(
             ctx, number,
--- a/libs/pooler/test/shutdown_test.cpp
+++ b/libs/pooler/test/shutdown_test.cpp
@@ -71,4 +71,112 @@
     BOOST_TEST(open_sessions(pooler_state) == 0U);
 }
 
+BOOST_AUTO_TEST_SUITE(with_a_transaction_that_has_sent_nothing)
+
+struct deferred_transaction : pooler_fixture
+{
+    deferred_transaction()
+    {
+        start(1, "newest");
+        query(1, verb::begin);
+        post(shutdown_started{});
+    }
+
+    bool reaches_a_member() const
+    {
+        return first_of<open_connection>() || first_of<send_to_member>();
+    }
+};
+
+// Guards against a first statement that is passed on so late that the process
+// ends before its answer (review case 3).
+BOOST_FIXTURE_TEST_CASE(ends_it_at_the_limit, deferred_transaction)
+{
+    wait(pooler_state.settings.shutdown_transactions);
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(outcome(1) == "aborted");
+    BOOST_TEST(!reaches_a_member());
+    query(1, verb::rollback);
+    BOOST_TEST(outcome(1) == "success");
+    wait(100ms);
+    BOOST_TEST(open_sessions(pooler_state) == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ends_it_between_two_ticks_too, deferred_transaction)
+{
+    now += pooler_state.settings.shutdown_transactions;
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(outcome(1) == "aborted");
+    BOOST_TEST(!reaches_a_member());
+    query(1, verb::commit);
+    BOOST_TEST(outcome(1) == "aborted");
+}
+
+BOOST_FIXTURE_TEST_CASE(serves_it_before, deferred_transaction)
+{
+    now += pooler_state.settings.shutdown_transactions - 1ms;
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(!reply(1));
+    BOOST_TEST(reaches_a_member());
+}
+
+// Guards against a transaction that begins although its first statement would
+// come too late. Another host can serve all of it.
+BOOST_FIXTURE_TEST_CASE(refuses_new_ones_after_the_limit, deferred_transaction)
+{
+    start(2, "newest");
+    now += pooler_state.settings.shutdown_transactions;
+    query(2, verb::begin);
+    BOOST_TEST(outcome(2) == "busy");
+    BOOST_REQUIRE(first_of<close_caller>());
+    BOOST_TEST(first_of<close_caller>()->session == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(with_a_transaction_whose_caller_never_pauses)
+
+// Guards against a transaction that outlasts its limit because a statement of
+// it runs whenever the limit is checked.
+BOOST_FIXTURE_TEST_CASE(aborts_it_at_its_next_statement, pooler_fixture)
+{
+    const auto c = open_transaction(1);
+    post(shutdown_started{});
+    query(1, verb::write, "WRITE 2 x");
+    now += pooler_state.settings.shutdown_transactions;
+    succeed(c, {1, 5}, session_state::in_transaction, "signed");
+    BOOST_REQUIRE_EQUAL(outcome(1), "success");
+    query(1, verb::write, "WRITE 3 x");
+    BOOST_TEST(outcome(1) == "aborted");
+    BOOST_REQUIRE(first_of<send_to_member>());
+    BOOST_TEST((first_of<send_to_member>()->statements[0].stmt.kind ==
+                verb::rollback));
+}
+
+BOOST_FIXTURE_TEST_CASE(still_commits_it_while_statements_are_accepted,
+                        pooler_fixture)
+{
+    const auto c = open_transaction(1);
+    post(shutdown_started{});
+    query(1, verb::write, "WRITE 2 x");
+    now += pooler_state.settings.shutdown_transactions;
+    succeed(c, {1, 5}, session_state::in_transaction, "signed");
+    query(1, verb::commit);
+    succeed(c, {1, 6}, session_state::idle, "signed");
+    BOOST_TEST(outcome(1) == "success");
+}
+
+BOOST_FIXTURE_TEST_CASE(passes_on_no_commit_shortly_before_exit, pooler_fixture)
+{
+    const auto c = open_transaction(1);
+    post(shutdown_started{});
+    query(1, verb::write, "WRITE 2 x");
+    now += pooler_state.settings.shutdown_statements;
+    succeed(c, {1, 5}, session_state::in_transaction, "signed");
+    query(1, verb::commit);
+    BOOST_TEST(outcome(1) == "aborted");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
