--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -1,10 +1,14 @@
 #include "answers.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "connections.hpp"
 #include "freshness.hpp"
+#include "observations.hpp"
 #include "placement.hpp"
+#include "sessions.hpp"
+#include "setup.hpp"
 
 namespace godwitbarrow::pooler::detail
 {
@@ -30,157 +34,6 @@
     }
 }
 
-member* find_member(context& ctx, const backend_connection& c)
-{
-    const auto g = ctx.pooler.groups.find(c.group);
-    if (g == ctx.pooler.groups.end())
-        return nullptr;
-    const auto m = g->second.members.find(c.server);
-    return m == g->second.members.end() ? nullptr : &m->second;
-}
-
-void log_observation(context& ctx, const backend_connection& c,
-                     std::string what, std::string detail)
-{
-    decision_note n;
-    n.message = std::move(what);
-    n.group = c.group;
-    n.server = c.server;
-    n.detail = std::move(detail);
-    ctx.out.push_back(std::move(n));
-}
-
-/// Skips a lagging replica, doubling the back-off with each refusal.
-void back_off_lagging(context& ctx, member& m)
-{
-    const auto& settings = ctx.pooler.settings;
-    m.last_lag_back_off =
-        m.last_lag_back_off.count() == 0
-            ? settings.lag_back_off
-            : std::min(m.last_lag_back_off * 2, settings.max_lag_back_off);
-    m.lagging_until = ctx.now + m.last_lag_back_off;
-}
-
-/// Updates the state of the member from its refusal.
-void record_refusal(context& ctx, backend_connection& c, const failure& why)
-{
-    auto* m = find_member(ctx, c);
-    if (!m)
-        return;
-    if (why.code == failure_code::lagging)
-        back_off_lagging(ctx, *m);
-    if (why.code == failure_code::busy)
-        m->busy_until = ctx.now + ctx.pooler.settings.busy_back_off;
-    if (why.code != failure_code::read_only)
-        return;
-    auto& g = ctx.pooler.groups.at(c.group);
-    if (g.primary == c.server)
-        log_observation(ctx, c, "member is not the primary", "refused a write");
-    record_primary_denial(g, *m, ctx.now);
-}
-
-/// Records that the member acted as the primary.
-void record_primary_proof(context& ctx, const backend_connection& c,
-                          const std::optional<core::log_position>& at)
-{
-    const auto g = ctx.pooler.groups.find(c.group);
-    if (g == ctx.pooler.groups.end() ||
-        is_revoked(g->second, c.server, ctx.pooler.settings, ctx.now))
-        return;
-    if (g->second.primary != c.server)
-        log_observation(ctx, c, "member is the primary",
-                        "accepted a transaction");
-    record_primary_position(g->second, c.server, c.sent, at);
-}
-
-void finish_connection(context& ctx, connection_number number,
-                       session_state left)
-{
-    if (ctx.pooler.connections.count(number) == 0)
-        return;
-    if (left == session_state::idle)
-        release_connection(ctx, number);
-    else
-        roll_back(ctx, number);
-}
-
-/// Drops the member's name of the statement to execute from those that are
-/// prepared on the connection.
-void forget_prepared(backend_connection& c, const caller_session& s)
-{
-    const auto it = s.prepared.find(s.current->request.stmt.name);
-    if (it != s.prepared.end())
-        c.prepared.erase(it->second.member_name);
-}
-
-/// Whether the setup may be sent again: the member was only busy and has kept
-/// the transaction.
-bool may_repeat_setup(const context& ctx, const caller_session& s,
-                      const failure& why, session_state left)
-{
-    return why.code == failure_code::busy &&
-           left == session_state::in_transaction && !s.disconnected &&
-           ctx.now < s.current->deadline;
-}
-
-/// Retries or aborts a statement in an open transaction whose setup failed.
-void handle_setup_failure_on_held(context& ctx, backend_connection& c,
-                                  const failure& why, session_state left)
-{
-    const auto user = c.user;
-    auto& s = ctx.pooler.sessions.at(user);
-    release_slots(ctx, user, false);
-    if (!may_repeat_setup(ctx, s, why, left))
-        return fail_statement(ctx, user, failure_code::aborted, why.text);
-    // Inside a transaction a session only adds values, so setting all of them
-    // again leaves no other value on the connection.
-    c.values.clear();
-    s.current->retry_on_held = true;
-}
-
-/// Continues with the statement that waited for the setup, or retries it. No
-/// part of it was sent to the member yet.
-void finish_setup(context& ctx, connection_number number, session_state left)
-{
-    auto& c = ctx.pooler.connections.at(number);
-    if (!c.after_setup || !c.outstanding.empty())
-        return;
-    const auto user = c.user;
-    const auto& s = ctx.pooler.sessions.at(user);
-    const bool open = s.tx.phase == transaction_phase::open;
-    const bool revoked =
-        !open && s.current->primary_only && is_on_revoked_primary(ctx, c);
-    if (!c.setup_failure && !s.disconnected && !revoked)
-        return send_after_setup(ctx, number);
-    c.after_setup.reset();
-    const failure why = c.setup_failure.value_or(
-        failure{failure_code::busy, revoked ? "the primary is being replaced"
-                                            : "caller disconnected"});
-    if (open)
-        return handle_setup_failure_on_held(ctx, c, why, left);
-    requeue_statement(ctx, user, why);
-    finish_connection(ctx, number, session_state::idle);
-}
-
-/// Handles the answer to a statement that sets values or prepares.
-void handle_setup_answer(context& ctx, connection_number number,
-                         const answer& a, purpose why)
-{
-    auto& c = ctx.pooler.connections.at(number);
-    if (const auto* f = failure_of(a))
-    {
-        log_observation(ctx, c, "connection setup failed", f->text);
-        record_refusal(ctx, c, *f);
-        if (!c.setup_failure || c.setup_failure->code == failure_code::busy)
-            c.setup_failure = *f;
-        const auto s = ctx.pooler.sessions.find(c.user);
-        if (why == purpose::prepare && s != ctx.pooler.sessions.end() &&
-            s->second.current)
-            forget_prepared(c, s->second);
-    }
-    finish_setup(ctx, number, a.state);
-}
-
 void handle_begin_answer(context& ctx, connection_number number,
                          const answer& a, bool read_write)
 {
--- a/libs/pooler/src/connections.cpp
+++ b/libs/pooler/src/connections.cpp
@@ -174,6 +174,17 @@
     release_connection(ctx, number);
 }
 
+void finish_connection(context& ctx, connection_number number,
+                       session_state left)
+{
+    if (ctx.pooler.connections.count(number) == 0)
+        return;
+    if (left == session_state::idle)
+        release_connection(ctx, number);
+    else
+        roll_back(ctx, number);
+}
+
 std::vector<query> setup_statements(backend_connection& c,
                                     const caller_session& s)
 {
--- a/libs/pooler/src/connections.hpp
+++ b/libs/pooler/src/connections.hpp
@@ -37,6 +37,11 @@
 /// Rolls back the transaction on the connection and releases it.
 void roll_back(context& ctx, connection_number number);
 
+/// Returns a connection to the pool after its use. `left` is the state in which
+/// the member left it; an open transaction is rolled back first.
+void finish_connection(context& ctx, connection_number number,
+                       session_state left);
+
 /// Returns the statements that apply the session's values to the connection
 /// and prepare the statement that is about to run.
 std::vector<query> setup_statements(backend_connection& c,
