--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -7,6 +7,7 @@
 #include "freshness.hpp"
 #include "observations.hpp"
 #include "placement.hpp"
+#include "sending.hpp"
 #include "sessions.hpp"
 #include "setup.hpp"
 
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -7,6 +7,7 @@
 #include "answers.hpp"
 #include "connections.hpp"
 #include "placement.hpp"
+#include "sending.hpp"
 #include "sessions.hpp"
 #include "shutdown.hpp"
 
--- a/libs/pooler/src/placement.hpp
+++ b/libs/pooler/src/placement.hpp
@@ -20,22 +20,10 @@
 /// Starts queued statements of the group, the most urgent first.
 void dispatch(context& ctx, group& g);
 
-/// Sends the current statement on the connection held by its transaction.
-void send_on_held(context& ctx, session_number number);
-
 /// Whether the transaction has written, or is about to write, on a primary that
 /// is being replaced. Its commit could be lost.
 bool writes_on_revoked_primary(const context& ctx, const caller_session& s);
 
-/// Sends the statement that waited for the setup of its connection.
-void send_after_setup(context& ctx, connection_number number);
-
-/// Sends the statement once BEGIN has succeeded on its connection.
-void send_after_begin(context& ctx, connection_number number);
-
-/// Whether the statement may change data.
-bool writes_data(const caller_session& s, const statement& what);
-
 admission::queue_state& queue_of(group& g, const pending_statement& p);
 
 }  // namespace godwitbarrow::pooler::detail
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -4,6 +4,7 @@
 
 #include "connections.hpp"
 #include "placement.hpp"
+#include "sending.hpp"
 #include "shutdown.hpp"
 
 namespace godwitbarrow::pooler::detail
--- a/libs/pooler/src/setup.cpp
+++ b/libs/pooler/src/setup.cpp
@@ -3,6 +3,7 @@
 #include "connections.hpp"
 #include "observations.hpp"
 #include "placement.hpp"
+#include "sending.hpp"
 
 namespace godwitbarrow::pooler::detail
 {
