Serve connections that are queued when a host stops accepting

Two windows: closing the listening socket resets established connections that are not accepted yet, and a connection accepted during the drain was closed as idle before its first request arrived.

Queued connections are accepted before the socket closes, and a connection counts as idle only after it has carried a request.

Tests (server_test): a_connection_that_is_still_queued_is_served and a_connection_without_a_request_yet_is_served failed before.

--- a/libs/gateway/include/godwitbarrow/gateway/server.hpp
+++ b/libs/gateway/include/godwitbarrow/gateway/server.hpp
@@ -60,11 +60,13 @@
 /// The bound endpoint, with the real port if port 0 was asked for.
 core::endpoint local_endpoint(const gateway_ptr& it);
 
-/// Closes the listening socket. Open connections are served on.
+/// Closes the listening socket. Open connections are served on, as are those
+/// that wait to be accepted.
 void stop_accepting(const gateway_ptr& it);
 
-/// Starts to drain: closes connections without a request and closes each other
-/// connection after its next answer. A request in flight is always answered.
+/// Starts to drain: closes connections that are idle after a request and closes
+/// each other connection after its next answer. A request in flight is always
+/// answered.
 void close_idle(const gateway_ptr& it);
 
 /// Stops accepting and closes all connections, also with requests in flight.
--- a/libs/gateway/src/http_server.cpp
+++ b/libs/gateway/src/http_server.cpp
@@ -49,6 +49,13 @@
         });
 }
 
+void admit_now(const http_server_ptr& it, strand_socket socket)
+{
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    admit(it, std::move(socket));
+}
+
 void accept(const http_server_ptr& it)
 {
     if (!it->acceptor.is_open())
@@ -60,14 +67,25 @@
                                       return;
                                   if (ec)
                                       return accept_later(it);
-                                  error_code ignored;
-                                  socket.set_option(tcp::no_delay(true),
-                                                    ignored);
-                                  admit(it, std::move(socket));
+                                  admit_now(it, std::move(socket));
                                   accept(it);
                               });
 }
 
+/// Accepts the connections that are established and queued. Closing the
+/// acceptor would reset them, also those that have sent a request.
+void accept_queued(const http_server_ptr& it)
+{
+    error_code ec;
+    it->acceptor.non_blocking(true, ec);
+    while (!ec)
+    {
+        auto socket = it->acceptor.accept(asio::make_strand(it->parent), ec);
+        if (!ec)
+            admit_now(it, std::move(socket));
+    }
+}
+
 error_code bind(strand_acceptor& acceptor, const core::endpoint& at)
 {
     error_code ec;
@@ -133,7 +151,12 @@
 
 void stop_accepting(const http_server_ptr& it)
 {
-    asio::post(it->acceptor.get_executor(), [it] { close_acceptor(it); });
+    asio::post(it->acceptor.get_executor(),
+               [it]
+               {
+                   accept_queued(it);
+                   close_acceptor(it);
+               });
 }
 
 void drain(const http_server_ptr& it)
--- a/libs/gateway/src/http_session.cpp
+++ b/libs/gateway/src/http_session.cpp
@@ -223,8 +223,12 @@
 
 void close_if_idle(const session_ptr& it)
 {
+    // A caller that has only just connected sends its first request next, and
+    // could not tell whether it had run.
+    if (it->phase != session_phase::idle || it->first_request)
+        return;
     error_code ec;
-    if (it->phase == session_phase::idle && it->socket.available(ec) == 0)
+    if (it->socket.available(ec) == 0)
         close_session(it);
 }
 
--- a/libs/gateway/src/http_session.hpp
+++ b/libs/gateway/src/http_session.hpp
@@ -62,7 +62,8 @@
 void serve(const session_ptr& it);
 /// Tells the caller that there are too many connections.
 void refuse(const session_ptr& it);
-/// Closes the connection if no byte of a request has arrived.
+/// Closes the connection if it has carried a request before and no byte of the
+/// next one has arrived.
 void close_if_idle(const session_ptr& it);
 void close_session(const session_ptr& it);
 
--- a/libs/gateway/test/server_test.cpp
+++ b/libs/gateway/test/server_test.cpp
@@ -315,6 +315,48 @@
     BOOST_TEST(it.ended());
 }
 
+// Guards against a caller whose connection was established, but not yet
+// accepted or used, when the host stopped: it was reset, and the caller could
+// not know whether its request had run (finding graceful-shutdown).
+BOOST_AUTO_TEST_CASE(a_connection_that_is_still_queued_is_served)
+{
+    bool answered = false;
+    gateway_handlers handlers;
+    handlers.on_request = [&](const parsed_request& what, const responder& to)
+    {
+        echo(what, to);
+        answered = true;
+    };
+    asio::io_context own;
+    const auto queued = std::get<gateway_ptr>(
+        start_gateway(own.get_executor(), any_port, {}, handlers));
+    own.poll();
+    client it(local_endpoint(queued));
+    stop_accepting(queued);
+    close_idle(queued);
+    own.poll();
+    it.send(post(read_body));
+    while (!answered && own.run_one_for(5s) > 0)
+    {
+    }
+    BOOST_REQUIRE(answered);
+    own.poll();
+    BOOST_TEST(it.receive().result_int() == 200U);
+    BOOST_TEST(it.ended());
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_without_a_request_yet_is_served)
+{
+    start({echo, {}});
+    auto it = connect();
+    while (open_connections(server) == 0)
+        std::this_thread::yield();
+    close_idle(server);
+    it.send(post(read_body));
+    BOOST_TEST(it.receive().result_int() == 200U);
+    BOOST_TEST(it.ended());
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_connection_is_closed)
 {
     start({echo, {}});
