--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -8,7 +8,6 @@
 #include "observations.hpp"
 #include "placement.hpp"
 #include "sending.hpp"
-#include "sessions.hpp"
 #include "setup.hpp"
 
 namespace godwitbarrow::pooler::detail
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -93,8 +93,8 @@
            ctx.now - s.idle_since >= limit;
 }
 
-/// Returns why the transaction of a session without a running statement ends,
-/// or nothing if it goes on.
+/// Returns why the transaction has to end, or an empty text if it goes on or a
+/// statement of it is running.
 std::string expiry_reason(const context& ctx, const caller_session& s)
 {
     const bool ongoing = s.tx.phase == transaction_phase::open ||
--- a/libs/pooler/src/sending.cpp
+++ b/libs/pooler/src/sending.cpp
@@ -31,6 +31,8 @@
                                          : purpose::set_values;
 }
 
+/// Appends what gives the connection the values and the prepared statement of
+/// the session.
 void append_setup(backend_connection& c, std::vector<query>& to,
                   const caller_session& s)
 {
@@ -42,7 +44,8 @@
     }
 }
 
-/// Appends the caller's statement, or keeps it until the setup has succeeded.
+/// Appends the caller's statement, or keeps it until the setup has succeeded if
+/// `to` holds one.
 void append_after_setup(context& ctx, backend_connection& c,
                         std::vector<query>& to, caller_session& s, query what)
 {
--- /dev/null
+++ b/libs/takeover/test/host.hpp
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "godwitbarrow/takeover/decide.hpp"
+
+/// Fixture: the takeover of one group as a host decides it.
+namespace godwitbarrow::takeover::test
+{
+
+using namespace std::chrono_literals;
+
+/// One of four hosts, with its view of a group of three members.
+struct host
+{
+    takeover_state state;
+    takeover_settings settings;
+    group_view view;
+    core::time_point now{1000s};
+    actions last_actions;
+    std::chrono::milliseconds store_time{50000};
+    /// Newest term of the group, which the members report.
+    core::term_number newest_term = 3;
+    /// Members that stopped receiving, and at which term.
+    std::map<std::string, core::term_number> paused;
+
+    host()
+    {
+        settings.self = {"host-1"};
+        view.primary = core::server_id{"a"};
+        view.candidates = {{"b"}, {"c"}};
+        view.live_hosts = 4;
+        view.newest_term = newest_term;
+    }
+
+    void handle(const event& input)
+    {
+        last_actions = decide(state, settings, input, now);
+        for (const auto& a : last_actions)
+            if (const auto* it = std::get_if<ask_member>(&a))
+                pause_if_asked(*it);
+    }
+
+    /// A member ignores a pause at a term that is not above the newest one.
+    void pause_if_asked(const ask_member& query)
+    {
+        if (query.pause_replication_at.value_or(0) > newest_term)
+            paused[query.server.value] = *query.pause_replication_at;
+    }
+
+    void observe(bool unreachable, bool leaving = false)
+    {
+        view.unreachable = unreachable;
+        view.unreachable_for = unreachable ? 700ms : 0ms;
+        view.leaving = leaving;
+        handle(group_view_updated{view});
+    }
+
+    template <class Action>
+    std::optional<Action> first_action() const
+    {
+        for (const auto& a : last_actions)
+            if (const auto* it = std::get_if<Action>(&a))
+                return *it;
+        return std::nullopt;
+    }
+
+    void answer(const std::string& id, std::uint64_t received,
+                core::member_role role = core::member_role::replica)
+    {
+        handle(member_answered{
+            {id},
+            member_report{
+                role, newest_term, {newest_term, received}, paused[id]}});
+    }
+
+    void no_answer(const std::string& id)
+    {
+        handle(member_answered{{id}, std::nullopt});
+    }
+
+    /// Rows with an expired claim and unexpired votes of other hosts, whose
+    /// last answer from the primary is as old as that of this host.
+    rows_read rows_with_votes(int others) const
+    {
+        rows_read rows;
+        rows.last_claim = claim{4, {"host-9"}, {"z"}, store_time - 60s};
+        rows.version = 9;
+        rows.store_time = store_time;
+        for (int n = 0; n < others; ++n)
+            rows.votes[{"host-" + std::to_string(n + 2)}] = {
+                {"a"}, store_time - 700ms, store_time - 100ms};
+        return rows;
+    }
+
+    /// Makes the primary unreachable and advances to the read of the rows.
+    void confirm_unreachable()
+    {
+        observe(true);
+        BOOST_REQUIRE(first_action<ask_member>());
+        no_answer("a");
+        BOOST_REQUIRE(first_action<read_rows>());
+    }
+
+    /// Claims the takeover of a primary that no host can reach.
+    void claim_takeover()
+    {
+        confirm_unreachable();
+        handle(rows_with_votes(3));
+        BOOST_REQUIRE(first_action<write_claim>());
+        handle(row_written{write_result::done, 10});
+    }
+
+    void advance_clock(core::duration duration)
+    {
+        now += duration;
+        handle(time_passed{});
+    }
+};
+
+}  // namespace godwitbarrow::takeover::test
