Start child processes without the sockets of the runner

Children now close all but the standard descriptors. inherits_no_socket (processes_test) failed before.

--- a/test/scenarios/src/processes.cpp
+++ b/test/scenarios/src/processes.cpp
@@ -45,6 +45,8 @@
     posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log_path.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // An inherited socket would keep a connection open that the runner closed.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     process it;
     it.log_path = log_path;
     const int rc = posix_spawn(&it.id, arguments[0], &files, nullptr,
