Register a connection to a member before it can be used

Another worker that established it in between found none and sent no startup, so the connection held its place until it timed out.

It is registered under the lock of the links now.

--- a/apps/proxy/src/pooled/members.cpp
+++ b/apps/proxy/src/pooled/members.cpp
@@ -89,11 +89,13 @@
             stream::send(
                 c, platform::encode_startup(group, server, it.settings.name));
     };
-    const auto c = stream::connect(it.io.get_executor(), what.address,
-                                   detail::connect_timeout,
-                                   std::move(connected), std::move(on));
+    // Another worker may call `connected` before this function ends. It finds
+    // the connection only once this lock is released.
     std::lock_guard lock(it.links.mutex);
-    it.links.members.emplace(number, c);
+    it.links.members.emplace(
+        number, stream::connect(it.io.get_executor(), what.address,
+                                detail::connect_timeout, std::move(connected),
+                                std::move(on)));
 }
 
 void send(app& it, const pooler::send_to_member& what)
--- a/test/pooled/member_standin.cpp
+++ b/test/pooled/member_standin.cpp
@@ -153,8 +153,7 @@
     return done(m, s);
 }
 
-std::string start(const member_standin& m, member_session& s,
-                  std::istringstream& in)
+std::string start(member_standin& m, member_session& s, std::istringstream& in)
 {
     std::string group;
     std::string who;
@@ -163,6 +162,7 @@
     if (group != m.group || id != m.id)
         return "ERROR MISROUTED " + m.id + "\r\n";
     s.started = true;
+    ++m.started;
     return ready(m, 'I');
 }
 
--- a/test/pooled/member_standin.hpp
+++ b/test/pooled/member_standin.hpp
@@ -38,6 +38,8 @@
     /// Runs the next write and breaks the connection without an answer.
     bool lose_next_write = false;
 
+    /// Connections whose startup it accepted.
+    std::size_t started = 0;
     /// Keeps the sessions; their connections refer to them weakly.
     std::vector<std::shared_ptr<void>> sessions;
     boost::asio::ip::tcp::acceptor acceptor;
--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -11,6 +11,7 @@
 #include "godwitbarrow/telemetry/log.hpp"
 #include "member_standin.hpp"
 #include "pooled/app.hpp"
+#include "pooled/links.hpp"
 #include "pooled/run.hpp"
 #include "store_standin.hpp"
 
@@ -440,6 +441,39 @@
     busy_deployment() : deployment(4) {}
 };
 
+// Guards against a connection to a member on which nothing is ever sent: it was
+// established on another worker before it was registered, so its startup was
+// lost and it timed out (soak seed 15).
+BOOST_FIXTURE_TEST_CASE(starts_each_connection_to_a_member, busy_deployment)
+{
+    constexpr unsigned threads = 8;
+    constexpr unsigned opened = 500;
+    // Numbers that the host does not use itself.
+    constexpr pooler::connection_number first = 1'000'000;
+    const auto open_some = [&](unsigned from)
+    {
+        for (unsigned n = from; n < from + opened; ++n)
+            proxy::pooled::open(
+                *host,
+                {first + n, {"quotes"}, {"a"}, local(members[0]->port())});
+    };
+    std::vector<std::thread> openers;
+    openers.reserve(threads);
+    for (unsigned n = 0; n < threads; ++n)
+        openers.emplace_back(open_some, n * opened);
+    for (auto& t : openers)
+        t.join();
+    std::size_t started = 0;
+    wait_until(
+        [&]
+        {
+            at_standins([&] { started = members[0]->started; });
+            return started >= threads * opened;
+        });
+    for (unsigned n = 0; n < threads * opened; ++n)
+        proxy::pooled::close_member(*host, first + n);
+}
+
 // Guards against answers that reach another session, and data races.
 BOOST_FIXTURE_TEST_CASE(keeps_sessions_apart, busy_deployment)
 {
