--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -441,37 +441,60 @@
     busy_deployment() : deployment(4) {}
 };
 
+/// Opens connections to the primary from several threads, as workers do.
+struct opening_deployment : busy_deployment
+{
+    static constexpr std::size_t threads = 8;
+    /// By one thread in one round; all of a round stay below the usual limit of
+    /// 1024 descriptors.
+    static constexpr std::size_t opened = 40;
+    /// Above the numbers that the host uses itself.
+    pooler::connection_number next = 1'000'000;
+
+    void open_some(pooler::connection_number from)
+    {
+        for (auto n = from; n < from + opened; ++n)
+            proxy::pooled::open(
+                *host, {n, {"quotes"}, {"a"}, local(members[0]->port())});
+    }
+
+    void open_round()
+    {
+        std::vector<std::thread> openers;
+        openers.reserve(threads);
+        for (std::size_t n = 0; n < threads; ++n)
+            openers.emplace_back([this, from = next + n * opened]
+                                 { open_some(from); });
+        for (auto& t : openers)
+            t.join();
+    }
+
+    void close_round()
+    {
+        for (std::size_t n = 0; n < threads * opened; ++n)
+            proxy::pooled::close_member(*host, next++);
+    }
+
+    std::size_t started()
+    {
+        std::size_t out = 0;
+        at_standins([&] { out = members[0]->started; });
+        return out;
+    }
+};
+
 // Guards against a connection to a member on which nothing is ever sent: it was
 // established on another worker before it was registered, so its startup was
 // lost and it timed out (soak seed 15).
-BOOST_FIXTURE_TEST_CASE(starts_each_connection_to_a_member, busy_deployment)
+BOOST_FIXTURE_TEST_CASE(starts_each_connection_to_a_member, opening_deployment)
 {
-    constexpr unsigned threads = 8;
-    constexpr unsigned opened = 500;
-    // Numbers that the host does not use itself.
-    constexpr pooler::connection_number first = 1'000'000;
-    const auto open_some = [&](unsigned from)
+    constexpr std::size_t rounds = 12;
+    for (std::size_t n = 1; n <= rounds; ++n)
     {
-        for (unsigned n = from; n < from + opened; ++n)
-            proxy::pooled::open(
-                *host,
-                {first + n, {"quotes"}, {"a"}, local(members[0]->port())});
-    };
-    std::vector<std::thread> openers;
-    openers.reserve(threads);
-    for (unsigned n = 0; n < threads; ++n)
-        openers.emplace_back(open_some, n * opened);
-    for (auto& t : openers)
-        t.join();
-    std::size_t started = 0;
-    wait_until(
-        [&]
-        {
-            at_standins([&] { started = members[0]->started; });
-            return started >= threads * opened;
-        });
-    for (unsigned n = 0; n < threads * opened; ++n)
-        proxy::pooled::close_member(*host, first + n);
+        open_round();
+        wait_until([&] { return started() >= n * threads * opened; });
+        close_round();
+    }
 }
 
 // Guards against answers that reach another session, and data races.
