Show that a stopping host leaves a late statement unanswered

Cause: a host that is told to stop takes statements until 2 s before the end of its grace, whatever the timeout of their route is, and exits 0.5 s before the end. A statement of a route with a timeout of 3 s may be at work then. Nothing of the program is changed.

--- /dev/null
+++ b/review/standin-2/cases.cpp
@@ -0,0 +1,356 @@
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <stdexcept>
+#include <thread>
+
+#include "platform.hpp"
+
+/// The cases of the second review. Each starts hosts beside the stand-ins,
+/// plays its disruption unless TROUBLE is 0, and checks its rule.
+///
+/// cases NAME PROGRAM TEMPLATE FOLDER RECORD
+///
+/// The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case
+/// could not run.
+namespace
+{
+
+using namespace review;
+using namespace std::chrono_literals;
+
+constexpr int rule_held = 0;
+constexpr int rule_broken = 1;
+constexpr int not_run = 2;
+
+/// Bounds of the deployment kalima-pool.
+constexpr std::int64_t stable_ms = 4000;
+constexpr std::int64_t apply_ms = 3000;
+constexpr std::int64_t grace_ms = 6000;
+constexpr std::size_t memory_limit_kb = 390 * 1024;
+
+struct could_not_run : std::runtime_error
+{
+    using std::runtime_error::runtime_error;
+};
+
+struct deployment
+{
+    deployment(const host_options& o, const std::string& record_path,
+               unsigned host_count)
+        : log(record_path), platform(log), options(o)
+    {
+        rights.name = "rights";
+        rights.primary = "i-a";
+        for (const auto* id : {"i-a", "i-b", "i-c"})
+            members.push_back(std::make_unique<member>(rights, id, log));
+        platform.promoted = [this](const std::string&, const std::string& id)
+        {
+            std::lock_guard lock(rights.mutex);
+            if (rights.primary != id)
+                ++rights.term;
+            rights.primary = id;
+            return true;
+        };
+        platform.put("op", "config", configuration(1, rights.name, {}));
+        for (const auto& it : members)
+            platform.put("servers", it->id(),
+                         it->registration("cairo-zamalek", "ready"));
+        options.platform = platform.port();
+        for (unsigned n = 1; n <= host_count; ++n)
+            hosts.push_back(start_host(options, "edge-" + std::to_string(n)));
+    }
+
+    void end_hosts()
+    {
+        for (auto& it : hosts)
+            end_host(it);
+    }
+
+    /// Waits until all hosts are ready and have been undisturbed for longer
+    /// than `stable_ms`.
+    void settle()
+    {
+        for (const auto& it : hosts)
+            await_ready(it);
+        pause_for(milliseconds(stable_ms + 1000));
+    }
+
+    void await_ready(const host& it)
+    {
+        for (int n = 0; n < 200; ++n)
+        {
+            if (is_ready(it))
+                return;
+            pause_for(50ms);
+        }
+        throw could_not_run(it.name + " is not ready");
+    }
+
+    record log;
+    service rights;
+    store platform;
+    std::vector<std::unique_ptr<member>> members;
+    host_options options;
+    std::vector<host> hosts;
+};
+
+bool is_trouble()
+{
+    const char* it = std::getenv("TROUBLE");
+    return !it || std::string(it) != "0";
+}
+
+/// What one host said about a database.
+struct refusal_count
+{
+    std::int64_t first = 0;
+    std::int64_t last = 0;
+    unsigned refused_late = 0;
+};
+
+/// CONFIG: a database that was added is refused by a host in touch.
+int silent_store_connections(deployment& d)
+{
+    d.settle();
+    d.platform.await_feed("op");
+    pause_for(50ms);
+    const auto silence = now_ms();
+    if (is_trouble())
+    {
+        d.platform.silence_connections();
+        d.log.add("the open connections to the store go silent");
+    }
+    pause_for(200ms);
+    d.platform.put("op", "config", configuration(2, d.rights.name, {"heirs"}));
+    const auto acknowledged = now_ms();
+    d.log.add("configuration 2 acknowledged: it adds the database heirs");
+    unsigned broken = 0;
+    while (now_ms() < acknowledged + 7000)
+    {
+        for (const auto& it : d.hosts)
+        {
+            const auto sent = now_ms();
+            caller c;
+            const bool served = c.start(it.callers, "heirs");
+            const bool in_touch = !is_trouble() || sent > silence + stable_ms;
+            const bool due = sent > acknowledged + apply_ms;
+            if (served)
+                d.log.add(it.name + " accepts a session of heirs");
+            if (served || c.refusal.find("NODB") == std::string::npos)
+                continue;
+            d.log.add(it.name + " refuses a session of heirs: " + c.refusal +
+                      (due && in_touch ? "  LATE, in touch"
+                       : due           ? "  late, not in touch"
+                                       : ""));
+            broken += due && in_touch ? 1 : 0;
+        }
+        pause_for(25ms);
+    }
+    d.log.add(std::to_string(broken) +
+              " refusals by hosts in touch later than apply_ms");
+    return broken > 0 ? rule_broken : rule_held;
+}
+
+/// A session that sends one short read after the other until the time.
+bool keep_busy(caller& c, std::int64_t until, unsigned& last_id)
+{
+    while (now_ms() < until)
+        if (!c.query("q" + std::to_string(++last_id), "READ 1a4"))
+            return false;
+    return true;
+}
+
+/// LOST: a statement that was taken after a SIGTERM is not answered.
+int long_statement_at_shutdown(deployment& d)
+{
+    // Sent 3.6 s after the SIGTERM and answered 5.7 s after it, within the
+    // grace of 6 s and the timeout of the route of 3 s.
+    constexpr std::int64_t sent_after = 3600;
+    constexpr milliseconds work = 2100ms;
+    d.rights.work = [&](const std::string& text)
+    {
+        return text == "READ archive" ? work : 30ms;
+    };
+    d.settle();
+    auto& h = d.hosts.front();
+    caller c;
+    c.log = &d.log;
+    if (!c.start(h.callers, "catalogue"))
+        throw could_not_run("no session: " + c.refusal);
+    unsigned last_id = 0;
+    keep_busy(c, now_ms() + 500, last_id);
+    const auto stopped = now_ms();
+    if (is_trouble())
+    {
+        signal_host(h, SIGTERM);
+        d.log.add("SIGTERM to " + h.name);
+    }
+    if (!keep_busy(c, stopped + sent_after, last_id))
+        throw could_not_run("the session ended before the long statement");
+    d.log.add("the client sends the long statement x1, " +
+              std::to_string(now_ms() - stopped) + " ms after the SIGTERM");
+    const auto answer = c.query("x1", "READ archive");
+    const auto after = now_ms() - stopped;
+    d.log.add(std::to_string(after) + " ms after the SIGTERM: " +
+              (answer ? "the client gets " + *answer
+                      : "the connection ends without an answer"));
+    if (!answer && after >= grace_ms)
+        throw could_not_run("the platform would have ended the process");
+    pause_for(1500ms);
+    return answer ? rule_held : rule_broken;
+}
+
+/// LOST: the answer to a statement is cut off by the end of the process.
+int long_answer_at_shutdown(deployment& d)
+{
+    constexpr std::int64_t sent_after = 1900;
+    constexpr std::size_t row_count = 3;
+    constexpr std::size_t row_bytes = 1000 * 1000;
+    // 15 Mbit/s.
+    constexpr std::size_t chunk_bytes = 18750;
+    constexpr milliseconds chunk_time = 10ms;
+    d.rights.rows = [](const std::string& item)
+    {
+        const bool large = item == "archive";
+        return std::vector<std::string>(
+            large ? row_count : 1, std::string(large ? row_bytes : 400, 'x'));
+    };
+    d.rights.work = [](const std::string&)
+    {
+        return 30ms;
+    };
+    d.settle();
+    auto& h = d.hosts.front();
+    caller c;
+    c.log = &d.log;
+    if (!c.start(h.callers, "catalogue", 32 * 1024))
+        throw could_not_run("no session: " + c.refusal);
+    unsigned last_id = 0;
+    keep_busy(c, now_ms() + 500, last_id);
+    const auto stopped = now_ms();
+    if (is_trouble())
+    {
+        signal_host(h, SIGTERM);
+        d.log.add("SIGTERM to " + h.name);
+    }
+    if (!keep_busy(c, stopped + sent_after, last_id))
+        throw could_not_run("the session ended before the statement");
+    d.log.add("the client sends x1, " + std::to_string(now_ms() - stopped) +
+              " ms after the SIGTERM");
+    send_all(c.socket, "QUERY x1 READ archive\r\n");
+    std::string got;
+    bool whole = false;
+    while (!whole)
+    {
+        char part[chunk_bytes];
+        const auto n = recv(c.socket, part, sizeof part, 0);
+        if (n <= 0)
+            break;
+        got.append(part, static_cast<std::size_t>(n));
+        whole = got.size() > row_count * row_bytes &&
+                got.find("READY", got.size() - 20) != std::string::npos &&
+                got.substr(got.size() - 2) == "\r\n";
+        pause_for(chunk_time);
+    }
+    const auto after = now_ms() - stopped;
+    d.log.add(
+        std::to_string(after) + " ms after the SIGTERM: " +
+        (whole ? "the client has the whole answer" : "the connection ends") +
+        " after " + std::to_string(got.size()) + " bytes");
+    return whole ? rule_held : rule_broken;
+}
+
+/// Fault: processes exceed the memory of their machine.
+int prepared_shapes(deployment& d)
+{
+    constexpr std::size_t shape_bytes = 200 * 1000;
+    constexpr unsigned sessions = 2400;
+    d.settle();
+    unsigned ended = 0;
+    std::uint64_t shape = 0;
+    for (unsigned round = 1; round <= 3; ++round)
+        for (auto& h : d.hosts)
+        {
+            std::size_t used = 0;
+            for (unsigned n = 0; n < sessions && used <= memory_limit_kb; ++n)
+            {
+                caller c;
+                if (!c.start(h.callers, "catalogue"))
+                    throw could_not_run("no session: " + c.refusal);
+                auto text = "q" + std::to_string(++shape) + '.';
+                if (is_trouble())
+                    text.resize(shape_bytes, 'x');
+                c.query("p1", "PREPARE s1 READ " + text);
+                send_all(c.socket, "TERMINATE\r\n");
+                used = memory_kb(h);
+                if (n % 200 == 0)
+                    d.log.add(h.name + ": session " + std::to_string(n) +
+                              " prepared a shape of " +
+                              std::to_string(text.size()) +
+                              " bytes and ended; the host uses " +
+                              std::to_string(used) + " kB");
+            }
+            d.log.add(h.name + " uses " + std::to_string(used) +
+                      " kB with no session open");
+            if (used <= memory_limit_kb)
+                continue;
+            // As the platform does.
+            ++ended;
+            end_host(h);
+            d.log.add(h.name + " is killed: over its memory limit of " +
+                      std::to_string(memory_limit_kb) + " kB");
+            h = start_host(d.options, h.name);
+            d.await_ready(h);
+        }
+    d.log.add(std::to_string(ended) + " processes were ended");
+    return ended >= 6 ? rule_broken : rule_held;
+}
+
+int play(const std::string& name, const host_options& options,
+         const std::string& record_path)
+{
+    const auto with_hosts = [&](unsigned count, int (*act)(deployment&))
+    {
+        // Threads of the stand-ins use it until the process ends.
+        auto& d = *new deployment(options, record_path, count);
+        int out = not_run;
+        try
+        {
+            out = act(d);
+            d.log.add(out == rule_held ? "the rule held"
+                                       : "the rule was broken");
+        }
+        catch (const could_not_run& e)
+        {
+            d.log.add(std::string("could not run: ") + e.what());
+        }
+        d.end_hosts();
+        return out;
+    };
+    if (name == "silent_store_connections")
+        return with_hosts(4, silent_store_connections);
+    if (name == "long_statement_at_shutdown")
+        return with_hosts(2, long_statement_at_shutdown);
+    if (name == "long_answer_at_shutdown")
+        return with_hosts(2, long_answer_at_shutdown);
+    if (name == "prepared_shapes")
+        return with_hosts(2, prepared_shapes);
+    return not_run;
+}
+
+}  // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc != 6)
+        return not_run;
+    std::signal(SIGPIPE, SIG_IGN);
+    const int out = play(argv[1], {argv[2], argv[3], argv[4], 0}, argv[5]);
+    std::fflush(nullptr);
+    // Threads of the stand-ins still wait for connections.
+    _exit(out);
+}
