Show that replaced members crash hosts with several workers

Cause: the map of the registrations is used by the handler of the feed and by a timer. With several workers both run at the same time, without a lock. The hosts of the stand-ins have a loopback address of their own: with many hosts, other connections took their ports. Nothing of the program is changed.

--- a/review/standin-2/base.cpp
+++ b/review/standin-2/base.cpp
@@ -4,7 +4,9 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <csignal>
@@ -19,15 +21,35 @@
 
 const auto started = clock::now();
 
-sockaddr_in loopback(std::uint16_t port)
+/// Several times the memory of a machine.
+constexpr rlim_t address_space_bytes = rlim_t{2} << 30;
+
+sockaddr_in endpoint(const std::string& address, std::uint16_t port)
 {
     sockaddr_in it{};
     it.sin_family = AF_INET;
     it.sin_port = htons(port);
-    it.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, address.c_str(), &it.sin_addr);
     return it;
 }
 
+const std::string standin_address = "127.0.0.1";
+
+/// The hosts of a run have a loopback address of their own, so that no other
+/// connection of the machine takes their ports.
+std::string host_address()
+{
+    const auto id = static_cast<unsigned>(getpid());
+    return "127." + std::to_string(1 + id / 250 % 250) + '.' +
+           std::to_string(1 + id % 250) + ".2";
+}
+
+std::uint16_t next_host_port()
+{
+    static std::uint16_t last = 21000;
+    return ++last;
+}
+
 /// Segments and buffers as on a network link; loopback has far larger ones.
 void limit_receive_buffer(int socket, int bytes)
 {
@@ -86,7 +108,7 @@
     listener it;
     it.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     limit_receive_buffer(it.socket, receive_buffer);
-    auto address = loopback(0);
+    auto address = endpoint(standin_address, 0);
     bind(it.socket, reinterpret_cast<sockaddr*>(&address), sizeof address);
     listen(it.socket, 1024);
     socklen_t size = sizeof address;
@@ -95,18 +117,11 @@
     return it;
 }
 
-std::uint16_t free_port()
-{
-    const auto it = listen_anywhere();
-    ::close(it.socket);
-    return it.port;
-}
-
-int connect_to(std::uint16_t port, int receive_buffer)
+int connect_to_host(std::uint16_t port, int receive_buffer)
 {
     const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     limit_receive_buffer(socket, receive_buffer);
-    const auto address = loopback(port);
+    const auto address = endpoint(host_address(), port);
     if (connect(socket, reinterpret_cast<const sockaddr*>(&address),
                 sizeof address) != 0)
     {
@@ -190,7 +205,7 @@
 bool caller::start(std::uint16_t port, const std::string& database,
                    int receive_buffer)
 {
-    socket = connect_to(port, receive_buffer);
+    socket = connect_to_host(port, receive_buffer);
     in = {socket, {}};
     if (socket < 0 || !send_all(socket, "STARTUP " + database + " app\r\n"))
         return false;
@@ -231,22 +246,24 @@
 {
     host it;
     it.name = name;
-    it.callers = free_port();
-    it.readiness = free_port();
-    const auto local = [](std::uint16_t port)
+    it.callers = next_host_port();
+    it.readiness = next_host_port();
+    const auto at = [](const std::string& address, std::uint16_t port)
     {
-        return "127.0.0.1:" + std::to_string(port);
+        return address + ':' + std::to_string(port);
     };
     auto text = read_file(options.settings_template);
     text = fill_in(text, "node", name);
     text = fill_in(text, "zone", "cairo-zamalek");
-    text = fill_in(text, "limits.cores", "1");
-    text = fill_in(text, "listen.front", local(it.callers));
-    text = fill_in(text, "listen.ready", local(it.readiness));
-    text = fill_in(text, "ip", "127.0.0.1");
-    text = fill_in(text, "port_range.0", std::to_string(free_port()));
-    text = fill_in(text, "platform.addr", local(options.platform));
-    text = fill_in(text, "cloud_api.addr", local(options.platform));
+    text = fill_in(text, "limits.cores", options.cores);
+    text = fill_in(text, "listen.front", at(host_address(), it.callers));
+    text = fill_in(text, "listen.ready", at(host_address(), it.readiness));
+    text = fill_in(text, "ip", host_address());
+    text = fill_in(text, "port_range.0", std::to_string(next_host_port()));
+    text =
+        fill_in(text, "platform.addr", at(standin_address, options.platform));
+    text =
+        fill_in(text, "cloud_api.addr", at(standin_address, options.platform));
     text = fill_in(text, "bounds.fencing", "true");
     text = fill_in(text, "bounds.grace_s", "6");
     text = fill_in(text, "bounds.drain_ms", "7000");
@@ -261,6 +278,9 @@
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, 1);
     dup2(out, 2);
+    // A faulty host must not use up the memory of the machine.
+    const rlimit memory{address_space_bytes, address_space_bytes};
+    setrlimit(RLIMIT_AS, &memory);
     // No host outlives the case.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     execle(options.program.c_str(), options.program.c_str(), "--mode=pooler",
@@ -270,9 +290,11 @@
 
 bool is_ready(const host& it)
 {
-    const int socket = connect_to(it.readiness);
+    const int socket = connect_to_host(it.readiness, 0);
     if (socket < 0)
         return false;
+    const timeval patience{2, 0};
+    setsockopt(socket, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
     send_all(socket, "GET /readyz HTTP/1.1\r\nHost: host\r\n\r\n");
     reader in{socket, {}};
     const auto first = in.line();
@@ -286,11 +308,11 @@
         kill(it.pid, number);
 }
 
-bool has_ended(host& it)
+bool has_ended(host& it, int* status)
 {
     if (it.pid <= 0)
         return true;
-    if (waitpid(it.pid, nullptr, WNOHANG) != it.pid)
+    if (waitpid(it.pid, status, WNOHANG) != it.pid)
         return false;
     it.pid = -1;
     return true;
--- a/review/standin-2/base.hpp
+++ b/review/standin-2/base.hpp
@@ -39,11 +39,9 @@
 };
 listener listen_anywhere(int receive_buffer = 0);
 
-/// A port that is free now.
-std::uint16_t free_port();
-
-/// Connects to 127.0.0.1; -1 on failure. Zero leaves the buffer as it is.
-int connect_to(std::uint16_t port, int receive_buffer = 0);
+/// Connects to a port of a host; -1 on failure. Zero leaves the buffer as it
+/// is.
+int connect_to_host(std::uint16_t port, int receive_buffer);
 
 bool send_all(int socket, const std::string& bytes);
 
@@ -98,11 +96,13 @@
     std::string settings_template;
     std::string folder;
     std::uint16_t platform = 0;
+    std::string cores = "1";
 };
 host start_host(const host_options& options, const std::string& name);
 bool is_ready(const host& it);
 void signal_host(const host& it, int number);
-bool has_ended(host& it);
+/// Whether the process has ended; `status` is as of wait(2).
+bool has_ended(host& it, int* status = nullptr);
 /// Kills the process and waits for it.
 void end_host(host& it);
 /// Resident memory in kilobytes; zero if the process has ended.
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <deque>
 #include <stdexcept>
 #include <thread>
 
@@ -115,6 +116,7 @@
 /// CONFIG: a database that was added is refused by a host in touch.
 int silent_store_connections(deployment& d)
 {
+    d.platform.log_feeds = true;
     d.settle();
     d.platform.await_feed("op");
     pause_for(50ms);
@@ -310,6 +312,111 @@
     return ended >= 6 ? rule_broken : rule_held;
 }
 
+/// Members of one service, one primary and replicas that are replaced.
+struct replicated_service
+{
+    std::unique_ptr<service> group;
+    std::unique_ptr<member> primary;
+    std::deque<std::unique_ptr<member>> replicas;
+};
+
+struct leaving_member
+{
+    std::int64_t until = 0;
+    std::unique_ptr<member> which;
+};
+
+/// Fault: processes crash on machines with several cores.
+int replaced_members(deployment& d)
+{
+    constexpr unsigned services = 20;
+    constexpr unsigned replicas = 2;
+    // Each service replaces a replica a second.
+    constexpr milliseconds interval(1000 / services);
+    constexpr std::int64_t drain_time_ms = 10000;
+    constexpr std::int64_t length_ms = 75000;
+    std::vector<replicated_service> all(services);
+    unsigned last_id = 0;
+    const auto add = [&](replicated_service& to)
+    {
+        auto it = std::make_unique<member>(
+            *to.group, "i-r" + std::to_string(++last_id), d.log);
+        d.platform.put("servers", it->id(),
+                       it->registration("cairo-zamalek", "ready"));
+        return it;
+    };
+    for (unsigned n = 0; n < services; ++n)
+    {
+        auto& it = all[n];
+        it.group = std::make_unique<service>();
+        it.group->name = "core-" + std::to_string(n);
+        it.group->primary = "i-r" + std::to_string(last_id + 1);
+        it.primary = add(it);
+        for (unsigned k = 0; k < replicas; ++k)
+            it.replicas.push_back(add(it));
+    }
+    d.settle();
+    std::deque<leaving_member> leaving;
+    // Sessions may still refer to members that have left.
+    std::vector<std::unique_ptr<member>> gone;
+    unsigned replaced = 0;
+    unsigned ended = 0;
+    const auto end = now_ms() + length_ms;
+    while (now_ms() < end)
+    {
+        if (is_trouble())
+        {
+            auto& it = all[replaced++ % services];
+            it.replicas.push_back(add(it));
+            auto old = std::move(it.replicas.front());
+            it.replicas.pop_front();
+            pause_for(interval / 3);
+            d.platform.put("servers", old->id(),
+                           old->registration("cairo-zamalek", "draining"));
+            leaving.push_back({now_ms() + drain_time_ms, std::move(old)});
+            pause_for(interval / 3);
+        }
+        while (!leaving.empty() && leaving.front().until <= now_ms())
+        {
+            leaving.front().which->stop();
+            d.platform.remove("servers", leaving.front().which->id());
+            gone.push_back(std::move(leaving.front().which));
+            leaving.pop_front();
+        }
+        pause_for(is_trouble() ? interval / 3 : interval);
+        for (auto& h : d.hosts)
+        {
+            int status = 0;
+            if (!has_ended(h, &status))
+                continue;
+            ++ended;
+            d.log.add(h.name + " has ended by itself, wait status " +
+                      std::to_string(status) + ", after " +
+                      std::to_string(replaced) + " replaced members");
+            h = start_host(d.options, h.name);
+        }
+    }
+    // Hosts that have just started need a moment.
+    pause_for(3s);
+    unsigned silent = 0;
+    for (const auto& h : d.hosts)
+    {
+        if (is_ready(h))
+            continue;
+        ++silent;
+        d.log.add(h.name + " is not ready");
+    }
+    d.log.add(std::to_string(replaced) + " members were replaced, " +
+              std::to_string(ended) + " processes have ended by themselves, " +
+              std::to_string(silent) + " are not ready");
+    for (auto& it : all)
+        gone.push_back(std::move(it.primary));
+    // Threads of the members use them until the process ends.
+    new auto(std::move(gone));
+    new auto(std::move(all));
+    return ended + silent > 0 ? rule_broken : rule_held;
+}
+
 int play(const std::string& name, const host_options& options,
          const std::string& record_path)
 {
@@ -339,6 +446,8 @@
         return with_hosts(2, long_answer_at_shutdown);
     if (name == "prepared_shapes")
         return with_hosts(2, prepared_shapes);
+    if (name == "replaced_members")
+        return with_hosts(40, replaced_members);
     return not_run;
 }
 
@@ -349,7 +458,10 @@
     if (argc != 6)
         return not_run;
     std::signal(SIGPIPE, SIG_IGN);
-    const int out = play(argv[1], {argv[2], argv[3], argv[4], 0}, argv[5]);
+    host_options options{argv[2], argv[3], argv[4], 0};
+    if (const char* cores = std::getenv("CORES"))
+        options.cores = cores;
+    const int out = play(argv[1], options, argv[5]);
     std::fflush(nullptr);
     // Threads of the stand-ins still wait for connections.
     _exit(out);
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -112,6 +112,13 @@
     changed_.notify_all();
 }
 
+void store::remove(const std::string& table, const std::string& key)
+{
+    std::lock_guard lock(mutex_);
+    tables_[table][key] = {{}, ++version_, true};
+    changed_.notify_all();
+}
+
 void store::silence_connections()
 {
     std::lock_guard lock(mutex_);
@@ -199,7 +206,7 @@
     const milliseconds wait(std::stoll(query.at("wait_ms")));
     ++feeds_[table];
     fed_.notify_all();
-    if (table == "op")
+    if (log_feeds && table == "op")
         log_.add("store: connection " + std::to_string(socket) +
                  " waits for changes of the configuration, at most " +
                  query.at("wait_ms") + " ms");
@@ -268,13 +275,19 @@
                 const int socket =
                     accept4(listener_.socket, nullptr, nullptr, SOCK_CLOEXEC);
                 if (socket < 0)
-                    return;
+                    break;
                 std::thread([this, socket] { serve(socket); }).detach();
             }
+            close(listener_.socket);
         })
         .detach();
 }
 
+void member::stop()
+{
+    shutdown(listener_.socket, SHUT_RDWR);
+}
+
 std::string member::registration(const std::string& zone,
                                  const std::string& state) const
 {
--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -38,12 +38,18 @@
     void put(const std::string& table, const std::string& key,
              const std::string& value);
 
+    /// The row is dropped, as that of a member that has left.
+    void remove(const std::string& table, const std::string& key);
+
     /// Connections that are open now deliver nothing more, new ones work.
     void silence_connections();
 
     /// Waits for the next call that waits for changes of the table.
     void await_feed(const std::string& table);
 
+    /// Whether calls that wait for a configuration are written to the record.
+    bool log_feeds = false;
+
     /// Called with the service and the member to promote.
     std::function<bool(const std::string&, const std::string&)> promoted;
 
@@ -104,6 +110,9 @@
     std::string registration(const std::string& zone,
                              const std::string& state) const;
 
+    /// The member exits.
+    void stop();
+
 private:
     struct session
     {
