--- a/review/standin-2/base.cpp
+++ b/review/standin-2/base.cc
@@ -1,4 +1,4 @@
-#include "base.hpp"
+#include "base.hh"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cc
@@ -8,7 +8,7 @@
 #include <stdexcept>
 #include <thread>
 
-#include "platform.hpp"
+#include "platform.hh"
 
 /// The cases of the second review. Each starts hosts beside the stand-ins,
 /// plays its disruption unless TROUBLE is 0, and checks its rule.
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cc
@@ -1,4 +1,4 @@
-#include "platform.hpp"
+#include "platform.hh"
 
 #include <sys/socket.h>
 #include <unistd.h>
--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hh
@@ -8,7 +8,7 @@
 #include <set>
 #include <string>
 
-#include "base.hpp"
+#include "base.hh"
 
 /// Stand-ins of the platform: its store, its call for promotions and the
 /// members of one service. They follow PROTOCOL.md as a sound platform does.
