--- a/review/standin-2/platform.hh
+++ b/review/standin-2/platform.hh
@@ -138,6 +138,7 @@
 /// The configuration that the operator writes: one route of each type and the
 /// extra databases, all on one service.
 std::string configuration(int version, const std::string& service,
-                          const std::vector<std::string>& extra);
+                          const std::vector<std::string>& extra,
+                          int synchronous_replicas = 0);
 
 }  // namespace review
