Show that a member that joins during a promotion takes commits with it

Cause: only the replicas that are known when a takeover asks are paused and compared. A member that registers later receives commits that the old primary acknowledges, and the promoted member lacks them. Nothing of the program is changed.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/bash
 # See claim.txt. TROUBLE=0 leaves the disruption out.
 here=$(dirname "$0")
-"$here/../standin-2/run-case" long_statement_at_shutdown "$here"
+"$here/../standin-2/run-case" joining_replica "$here"
