--- a/review/standin-2/cases.cc
+++ b/review/standin-2/cases.cc
@@ -392,7 +392,7 @@
 {
     // The new member starts a second before the old one drains.
     constexpr std::int64_t drains_after = 1000;
-    constexpr std::int64_t gap = 1300;
+    constexpr std::int64_t gap = 1400;
     auto& it = *new ledger(d);
     d.settle();
     it.start_clients();
