Split the tests of the pooler as a process by subject

Change: the fixture moves to deployment.hpp; the tests of the store, of the shutdown and of several workers get files of their own.

--- /dev/null
+++ b/test/pooled/deployment.hpp
@@ -0,0 +1,231 @@
+#pragma once
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <mutex>
+#include <thread>
+
+#include "godwitbarrow/telemetry/log.hpp"
+#include "member_standin.hpp"
+#include "pooled/app.hpp"
+#include "pooled/links.hpp"
+#include "pooled/run.hpp"
+#include "store_standin.hpp"
+
+/// Fixture: one host with its store, its members and its callers.
+namespace godwitbarrow::test
+{
+
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+/// Generous, and only reached if a test fails.
+inline constexpr auto test_limit = 20s;
+inline core::endpoint local(std::uint16_t port)
+{
+    return {"127.0.0.1", port};
+}
+
+/// A caller with a blocking socket.
+struct caller
+{
+    asio::io_context io;
+    asio::ip::tcp::socket socket{io};
+    std::string buf;
+
+    caller(std::uint16_t port, const std::string& database)
+    {
+        socket.connect({asio::ip::address_v4::loopback(), port});
+        write("STARTUP " + database + " test");
+    }
+
+    void write(const std::string& line)
+    {
+        asio::write(socket, asio::buffer(line + "\r\n"));
+    }
+
+    std::string line()
+    {
+        boost::system::error_code ec;
+        const auto n =
+            asio::read_until(socket, asio::dynamic_buffer(buf), '\n', ec);
+        if (ec)
+            return "closed";
+        auto out = buf.substr(0, n - 2);
+        buf.erase(0, n);
+        return out;
+    }
+
+    /// The lines of the answer up to its end, joined.
+    std::string query(const std::string& text)
+    {
+        write("QUERY 5c0e7a21 " + text);
+        std::string out;
+        for (auto it = line(); it != "closed"; it = line())
+        {
+            out += out.empty() ? it : " | " + it;
+            if (it.rfind("READY", 0) == 0)
+                return out;
+        }
+        return out + "closed";
+    }
+};
+
+/// One host, its store and a group of three members as threads of the test.
+struct deployment
+{
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work{
+        io.get_executor()};
+    std::shared_ptr<group_data> data = std::make_shared<group_data>();
+    store_standin store{io};
+    std::vector<std::unique_ptr<member_standin>> members;
+    std::unique_ptr<proxy::pooled::app> host;
+    std::thread standin_thread;
+    std::thread proxy;
+    std::uint16_t port = 0;
+
+    explicit deployment(std::size_t workers = 1)
+    {
+        telemetry::start_logging(telemetry::log_level::error);
+        data->primary = "a";
+        store.promoted = [this](const promotion_call& call)
+        {
+            promote(call.server);
+            return true;
+        };
+        for (const auto* id : {"a", "b", "c"})
+        {
+            members.push_back(
+                std::make_unique<member_standin>(io, "quotes", id, data));
+            register_member(*members.back());
+        }
+        configure(1);
+        standin_thread = std::thread([this] { io.run(); });
+        proxy::pooled::host_settings settings;
+        settings.name = {"host-1"};
+        settings.data_centre = {"north"};
+        settings.workers = workers;
+        // The system chooses the ports when the host binds them, so no other
+        // socket of the test can take them first.
+        settings.callers = local(0);
+        settings.readiness = local(0);
+        settings.store = local(store.port());
+        settings.promotions = local(store.port());
+        settings.grace = 4000ms;
+        host = std::make_unique<proxy::pooled::app>(settings);
+        BOOST_REQUIRE(ok(proxy::pooled::start(*host)));
+        port = host->acceptor.local_endpoint().port();
+        proxy = std::thread([this] { proxy::pooled::run_workers(*host); });
+        wait_until([this] { return host->ready.load(); });
+        wait_until([this] { return member_count() == 3; });
+    }
+
+    ~deployment()
+    {
+        host->io.stop();
+        proxy.join();
+        at_standins(
+            [this]
+            {
+                store.waiting.clear();
+                godwitbarrow::standins::stop(store.server);
+            });
+        // Lets the handlers of the closed sessions run.
+        at_standins([] {});
+        io.stop();
+        standin_thread.join();
+    }
+
+    std::size_t member_count()
+    {
+        std::lock_guard lock(host->decisions.mutex);
+        const auto& groups = host->decisions.state.groups;
+        const auto it = groups.find({"quotes"});
+        return it == groups.end() ? 0 : it->second.members.size();
+    }
+
+    std::uint64_t configured_version()
+    {
+        std::lock_guard lock(host->decisions.mutex);
+        return host->decisions.state.active_configuration.version;
+    }
+
+    template <class Condition>
+    void wait_until(Condition&& done)
+    {
+        const auto limit = std::chrono::steady_clock::now() + test_limit;
+        while (!done() && std::chrono::steady_clock::now() < limit)
+            std::this_thread::sleep_for(2ms);
+        BOOST_REQUIRE(done());
+    }
+
+    /// Runs on the thread of the stand-ins.
+    template <class Action>
+    void at_standins(Action&& action)
+    {
+        std::promise<void> done;
+        asio::post(io,
+                   [&]
+                   {
+                       action();
+                       done.set_value();
+                   });
+        done.get_future().wait();
+    }
+
+    void register_member(const member_standin& m, bool leaving = false)
+    {
+        store.put("servers", m.id,
+                  R"({"service":"quotes","addr":"127.0.0.1:)" +
+                      std::to_string(m.port()) +
+                      R"(","zone":"north","version":"v1","slots":2,"state":")" +
+                      (leaving ? "draining" : "ready") +
+                      R"(","cold_left_ms":0,"db_role":")" +
+                      (data->primary == m.id ? "primary" : "replica") +
+                      R"(","seq":1,"born":1})");
+    }
+
+    /// A registration with these texts for its slots and its port.
+    static std::string odd_entry(const std::string& slots,
+                                 const std::string& entry_port)
+    {
+        return R"({"service":"quotes","addr":"127.0.0.1:)" + entry_port +
+               R"(","zone":"north","version":"v1","slots":)" + slots +
+               R"(,"state":"ready","db_role":"primary","seq":1})";
+    }
+
+    void promote(const std::string& id)
+    {
+        data->primary = id;
+        ++data->at.term;
+        for (const auto& m : members)
+            register_member(*m);
+    }
+
+    void configure(int version)
+    {
+        const auto route = [](const char* host, const char* type, int age)
+        {
+            return std::string(R"({"name":"r","host":")") + host +
+                   R"(","type":")" + type +
+                   R"(","timeout_ms":2000,"slo_ms":4000,"priority":0,)"
+                   R"("service":"quotes","max_stale_ms":)" +
+                   std::to_string(age) + "}";
+        };
+        store.put("op", "config",
+                  R"({"version":)" + std::to_string(version) +
+                      R"(,"routes":[)" + route("newest", "primary", 0) + "," +
+                      route("bounded", "bounded", 1500) + "," +
+                      route("own", "session", 2500) +
+                      R"(],"services":[{"name":"quotes","max_conns":16,)"
+                      R"("sync_replicas":0}],"limits":{"tx_idle_ms":3000}})");
+    }
+};
+
+}  // namespace godwitbarrow::test
