Fence a primary with synchronous replicas before comparing them

Cause: the holder of a claim paused the replicas that it knew and promoted the best, while the hosts went on writing to the old primary for the 0.6 s of the promotion. A replica that registered in that time was not paused; what it alone received was acknowledged and lost.

Change: in a group with synchronous replicas the claim revokes the old primary on all hosts first, as on platforms that do not fence promotions; hosts follow the claims while a group has such replicas. One that ignores this or does not answer is replaced after a bounded time. A host no longer asks a primary for its role without end after another host promoted it.

Why it works: acknowledgements end because no host writes to the old primary, whichever replicas exist.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -63,6 +63,8 @@
 {
     core::ordered_mutex<core::lock_level::takeovers> mutex;
     std::map<core::group_id, takeover_entry> groups;
+    /// Whether the claims of other hosts are followed.
+    std::atomic<bool> claims_followed{false};
 };
 
 struct app
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -1,5 +1,6 @@
 #include "takeovers.hpp"
 
+#include <algorithm>
 #include <mutex>
 
 #include "godwitbarrow/platform/promotion.hpp"
@@ -193,9 +194,37 @@
     return out;
 }
 
+/// Whether hosts have to see a claim before the promotion: where a replaced
+/// primary leads on until it is told to step down, and where a commit that it
+/// acknowledges meanwhile must not be lost.
+bool needs_claims(const app& it,
+                  const std::map<group_id, takeover::group_view>& views)
+{
+    return !it.settings.fencing ||
+           std::any_of(views.begin(), views.end(),
+                       [](const auto& v)
+                       { return v.second.synchronous_replicas > 0; });
+}
+
+/// Follows the claims of all hosts from the first time that they are needed.
+void follow_claims(app& it)
+{
+    if (it.takeovers.claims_followed.exchange(true))
+        return;
+    watch_claims(it, settings_of(it).claim_ttl,
+                 [&it](const group_id& group, const takeover::claim& row)
+                 {
+                     if (find_registration(it, group, row.replaced))
+                         advance(it, group, takeover::claim_observed{row});
+                 });
+}
+
 void look_at_groups(app& it)
 {
-    for (auto& [group, view] : view_groups(it))
+    auto views = view_groups(it);
+    if (needs_claims(it, views))
+        follow_claims(it);
+    for (auto& [group, view] : views)
         advance(it, group, takeover::group_view_updated{std::move(view)});
 }
 
@@ -212,26 +241,11 @@
         });
 }
 
-/// Follows the claims of all hosts. Needed only where a replaced primary leads
-/// on until it is told to step down.
-void follow_claims(app& it)
-{
-    if (it.settings.fencing)
-        return;
-    watch_claims(it, settings_of(it).claim_ttl,
-                 [&it](const group_id& group, const takeover::claim& row)
-                 {
-                     if (find_registration(it, group, row.replaced))
-                         advance(it, group, takeover::claim_observed{row});
-                 });
-}
-
 }  // namespace
 }  // namespace detail
 
 void watch_primaries(app& it)
 {
-    detail::follow_claims(it);
     detail::look_again(it, std::make_shared<core::timer>(it.io));
 }
 
--- a/libs/core/include/godwitbarrow/core/position.hpp
+++ b/libs/core/include/godwitbarrow/core/position.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <ostream>
+#include <string>
 #include <tuple>
 
 namespace godwitbarrow::core
@@ -34,6 +35,12 @@
     }
 };
 
+/// Returns TERM.POSITION.
+inline std::string to_string(const log_position& it)
+{
+    return std::to_string(it.term) + '.' + std::to_string(it.position);
+}
+
 enum class member_role
 {
     replica,
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -59,6 +59,10 @@
     std::chrono::milliseconds step_down_interval{200};
     /// Number of attempts at the same promotion that may remain unanswered.
     unsigned max_promotion_attempts = 4;
+    /// Number of consecutive status queries that the old primary of a group
+    /// with synchronous replicas may leave unanswered before it is replaced
+    /// without its log position.
+    unsigned max_primary_queries = 3;
 };
 
 /// State of the group as observed by this host.
@@ -228,6 +232,9 @@
     reading,
     voting,
     claiming,
+    /// Waits for the hosts to stop writing to the old primary, then queries its
+    /// log position. Only in groups with synchronous replicas.
+    fencing,
     /// Queries the replicas to compare their log positions.
     querying,
     /// Waits for the old primary to step down, or for the hosts to see the
@@ -251,6 +258,14 @@
     core::server_id replaced;
     /// Time before which that claim was not made.
     core::time_point claimed_at;
+    /// When that primary was first revoked under the claim.
+    std::optional<core::time_point> revoked_at;
+    /// When the log position of that primary was last queried, and how many
+    /// queries in a row it left unanswered.
+    std::optional<core::time_point> primary_queried_at;
+    unsigned unanswered_primary_queries = 0;
+    /// Log position that the old primary reported while it still led.
+    std::optional<core::log_position> primary_position;
     /// Whether that primary has become a replica and has no successor yet.
     bool primary_stepped_down = false;
     /// Last request to step down that was not confirmed. It is repeated until
--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -93,7 +93,7 @@
         next.token > 0 &&
         is_recent(next.claimed_at, rows.store_time, ctx.settings.claim_ttl);
     if (recent && next.holder == ctx.settings.self && state.token == next.token)
-        return query_members(ctx);
+        return begin_comparison(ctx);
     if (recent && next.holder != ctx.settings.self)
         return pause_for(ctx, ctx.settings.retry_delay);
     if (!state.view.leaving && !state.primary_stepped_down &&
@@ -103,7 +103,10 @@
     next.replaced = suspected_primary(state);
     next.claimed_at = rows.store_time;
     state.token = ++next.token;
+    if (state.replaced != next.replaced)
+        state.unanswered_primary_queries = 0;
     state.replaced = next.replaced;
+    state.revoked_at.reset();
     state.claimed_at = state.phase_entered_at;
     state.refused_targets.clear();
     state.promotion_attempts = 0;
@@ -124,13 +127,12 @@
         return pause_for(ctx, ctx.settings.retry_delay);
     report_step(ctx, "takeover claimed", suspected_primary(state),
                 "token " + std::to_string(state.token));
-    query_members(ctx);
+    begin_comparison(ctx);
 }
 
 void handle_observed_claim(context& ctx, const claim_observed& input)
 {
-    if (!ctx.settings.revoke_before_promotion ||
-        input.row.replaced.value.empty())
+    if (!revokes_primary(ctx) || input.row.replaced.value.empty())
         return;
     ctx.out.push_back(revoke_primary{input.row.replaced, input.row.token});
     // Hosts that do not reach the store may still use the primary. The holder
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -86,6 +86,7 @@
         input.report && input.report->role == core::member_role::primary;
     if (!is_primary)
         return give_up_confirmation(ctx);
+    ctx.state.primary_stepped_down = false;
     ctx.out.push_back(primary_known{input.server, false});
     resume_replicas(ctx, input.server);
     if (!ctx.state.paused.empty())
@@ -102,6 +103,8 @@
     handle_step_down(ctx, input);
     if (state.current_phase == phase::confirming)
         return handle_confirmation(ctx, input);
+    if (state.current_phase == phase::fencing)
+        return handle_primary_position(ctx, input);
     if (state.current_phase == phase::querying)
         handle_report(ctx, input);
 }
@@ -124,6 +127,8 @@
             if (waited >= ctx.settings.answer_timeout)
                 give_up_confirmation(ctx);
             return;
+        case phase::fencing:
+            return continue_fencing(ctx);
         case phase::querying:
             if (waited >= ctx.settings.answer_timeout)
                 choose_target(ctx);
@@ -143,6 +148,8 @@
         state.suspected_since.reset();
     else if (!state.suspected_since)
         state.suspected_since = ctx.now;
+    if (state.current_phase == phase::querying)
+        query_new_members(ctx);
     check_timers(ctx);
 }
 
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -162,23 +162,51 @@
         ask_member{state.replaced, std::nullopt, state.step_down_term, false});
 }
 
+/// Tells the pooler of this host not to use the old primary. Other hosts do so
+/// when they see the claim.
+void revoke(context& ctx)
+{
+    auto& state = ctx.state;
+    ctx.out.push_back(revoke_primary{state.replaced, state.token});
+    if (!state.revoked_at)
+        state.revoked_at = ctx.now;
+}
+
+/// Whether the hosts have had time to see the claim. Commits that they had sent
+/// before are complete and replicated by then.
+bool is_revoked_everywhere(const context& ctx)
+{
+    return ctx.state.revoked_at &&
+           ctx.now - *ctx.state.revoked_at >= ctx.settings.revocation_delay;
+}
+
+/// Whether the group has no primary that could acknowledge a commit or report
+/// its log position.
+bool is_primary_lost(const context& ctx)
+{
+    const auto& state = ctx.state;
+    return state.replaced.value.empty() || state.view.unreachable ||
+           state.unanswered_primary_queries >= ctx.settings.max_primary_queries;
+}
+
 /// Promotes the target at once, or first has the old primary step down. The old
-/// primary may lead on after the promotion, so a write that a host still sends
-/// to it would be acknowledged and lost.
+/// primary leads until the promotion takes effect, and on some platforms
+/// longer, so a write that a host still sends to it would be acknowledged and
+/// lost.
 void revoke_and_promote(context& ctx)
 {
-    const bool revoke = ctx.settings.revoke_before_promotion &&
-                        !ctx.state.primary_stepped_down &&
-                        !ctx.state.replaced.value.empty();
-    if (!revoke)
+    auto& state = ctx.state;
+    if (!revokes_primary(ctx) || state.primary_stepped_down ||
+        state.replaced.value.empty())
         return send_promotion(ctx);
-    ctx.out.push_back(revoke_primary{ctx.state.replaced, ctx.state.token});
-    enter_phase(ctx, phase::revoking);
+    revoke(ctx);
     request_step_down(ctx);
+    if (pauses_replication(state) && is_primary_lost(ctx))
+        return send_promotion(ctx);
+    state.primary_position.reset();
+    enter_phase(ctx, phase::revoking);
 }
 
-}  // namespace
-
 void query_members(context& ctx)
 {
     auto& state = ctx.state;
@@ -198,6 +226,76 @@
         pause_for(ctx, ctx.settings.retry_delay);
 }
 
+void query_primary_position(context& ctx)
+{
+    ctx.state.primary_queried_at = ctx.now;
+    ctx.out.push_back(
+        ask_member{ctx.state.replaced, std::nullopt, std::nullopt, false});
+}
+
+}  // namespace
+
+bool revokes_primary(const context& ctx)
+{
+    return ctx.settings.revoke_before_promotion ||
+           pauses_replication(ctx.state);
+}
+
+void begin_comparison(context& ctx)
+{
+    auto& state = ctx.state;
+    if (!pauses_replication(state) || state.primary_stepped_down ||
+        state.replaced.value.empty())
+        return query_members(ctx);
+    state.primary_queried_at.reset();
+    state.primary_position.reset();
+    enter_phase(ctx, phase::fencing);
+    revoke(ctx);
+    continue_fencing(ctx);
+}
+
+void continue_fencing(context& ctx)
+{
+    if (!is_revoked_everywhere(ctx))
+        return;
+    if (is_primary_lost(ctx))
+        return query_members(ctx);
+    const auto& last = ctx.state.primary_queried_at;
+    if (!last || ctx.now - *last >= ctx.settings.answer_timeout)
+        query_primary_position(ctx);
+}
+
+void handle_primary_position(context& ctx, const member_answered& input)
+{
+    auto& state = ctx.state;
+    if (input.server != state.replaced || !state.primary_queried_at)
+        return;
+    if (!input.report)
+    {
+        ++state.unanswered_primary_queries;
+        return continue_fencing(ctx);
+    }
+    state.unanswered_primary_queries = 0;
+    if (input.report->role == core::member_role::primary)
+        state.primary_position = input.report->received;
+    else
+        state.primary_stepped_down = true;
+    query_members(ctx);
+}
+
+void query_new_members(context& ctx)
+{
+    auto& state = ctx.state;
+    if (!pauses_replication(state))
+        return;
+    auto members = state.view.candidates;
+    members.insert(members.end(), state.view.leaving_members.begin(),
+                   state.view.leaving_members.end());
+    for (const auto& id : members)
+        if (id != state.replaced && state.queried.insert(id).second)
+            query_member(ctx, id);
+}
+
 void handle_report(context& ctx, const member_answered& input)
 {
     auto& state = ctx.state;
@@ -218,6 +316,7 @@
     if (const auto other = find_other_primary(state))
     {
         report_step(ctx, "primary found", *other, "member is already primary");
+        state.primary_stepped_down = false;
         ctx.out.push_back(primary_known{*other, true});
         return pause_for(ctx, ctx.settings.promotion_settle_time);
     }
@@ -228,8 +327,7 @@
         return pause_for(ctx, ctx.settings.retry_delay);
     state.target = best->server;
     report_step(ctx, "promotion ordered", state.target,
-                "received " + std::to_string(best->received.term) + "." +
-                    std::to_string(best->received.position) + " token " +
+                "received " + to_string(best->received) + " token " +
                     std::to_string(state.token));
     revoke_and_promote(ctx);
 }
@@ -242,6 +340,7 @@
         return;
     if (input.report->role == core::member_role::primary)
     {
+        state.primary_position = input.report->received;
         if (input.report->newest_term >= state.step_down_term)
             request_step_down(ctx);
         return;
@@ -263,8 +362,16 @@
 
 void promote_if_revoked(context& ctx)
 {
-    if (ctx.now - ctx.state.phase_entered_at >= ctx.settings.revocation_delay)
-        send_promotion(ctx);
+    const auto waited = ctx.now - ctx.state.phase_entered_at;
+    if (waited < ctx.settings.revocation_delay)
+        return;
+    if (!pauses_replication(ctx.state) || is_primary_lost(ctx) ||
+        ctx.state.primary_position)
+        return send_promotion(ctx);
+    if (waited < ctx.settings.answer_timeout)
+        return;
+    ++ctx.state.unanswered_primary_queries;
+    pause_for(ctx, ctx.settings.retry_delay);
 }
 
 void resume_replicas(context& ctx, const core::server_id& primary)
--- a/libs/takeover/test/claim_test.cpp
+++ b/libs/takeover/test/claim_test.cpp
@@ -156,25 +156,6 @@
     {
         view.synchronous_replicas = 1;
     }
-
-    /// Claims the takeover of a leaving primary, whose term is not asked for.
-    void claim_of_leaving()
-    {
-        observe(false, true);
-        handle(rows_with_votes(0));
-        handle(row_written{write_result::done, 10});
-    }
-
-    /// Terms of the pauses that the last event asked for.
-    pause_terms pauses() const
-    {
-        pause_terms out;
-        for (const auto& a : last_actions)
-            if (const auto* it = std::get_if<ask_member>(&a))
-                if (it->pause_replication_at)
-                    out[it->server.value] = *it->pause_replication_at;
-        return out;
-    }
 };
 
 // Guards against a pause that members ignore because its term is not above the
@@ -183,7 +164,7 @@
 BOOST_FIXTURE_TEST_CASE(pauses_them_above_the_term_of_the_primary,
                         releasing_host)
 {
-    claim_of_leaving();
+    claim_of_leaving(40);
     BOOST_TEST((pauses() == pause_terms{{"b", 4}, {"c", 4}}));
 }
 
@@ -191,7 +172,7 @@
                         releasing_host)
 {
     view.newest_term = 0;
-    claim_of_leaving();
+    claim_takeover();
     answer("b", 45);
     BOOST_TEST((pauses() == pause_terms{{"b", 4}}));
     answer("c", 47);
@@ -207,7 +188,7 @@
 BOOST_FIXTURE_TEST_CASE(pauses_all_again_if_one_reports_a_newer_term,
                         releasing_host)
 {
-    claim_of_leaving();
+    claim_of_leaving(40);
     answer("b", 45);
     newest_term = 5;
     paused.erase("c");
@@ -216,12 +197,13 @@
     answer("c", 47);
     BOOST_TEST(!first_action<order_promotion>().has_value());
     answer("b", 45);
+    answer("a", 47);
     BOOST_TEST(first_action<order_promotion>().has_value());
 }
 
 BOOST_FIXTURE_TEST_CASE(promotes_none_and_asks_each_once_a_term, releasing_host)
 {
-    claim_of_leaving();
+    claim_of_leaving(40);
     paused.clear();
     answer("b", 45);
     BOOST_TEST(pauses().empty());
--- a/libs/takeover/test/decide_test.cpp
+++ b/libs/takeover/test/decide_test.cpp
@@ -1,7 +1,5 @@
 #include "host.hpp"
 
-#include <set>
-
 using namespace godwitbarrow;
 using namespace godwitbarrow::takeover;
 using godwitbarrow::takeover::test::host;
@@ -322,16 +320,6 @@
         BOOST_REQUIRE(first_action<order_promotion>());
     }
 
-    std::set<std::string> resumed() const
-    {
-        std::set<std::string> out;
-        for (const auto& a : last_actions)
-            if (const auto* it = std::get_if<ask_member>(&a))
-                if (it->resume_replication)
-                    out.insert(it->server.value);
-        return out;
-    }
-
     /// Shows `primary` as reachable after the settle time and confirms it.
     void confirm(const std::string& primary)
     {
--- /dev/null
+++ b/libs/takeover/test/fencing_test.cpp
@@ -0,0 +1,145 @@
+#include "host.hpp"
+
+using namespace godwitbarrow;
+using namespace godwitbarrow::takeover;
+using godwitbarrow::takeover::test::host;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A group that acknowledges a commit once one replica has received it.
+struct synchronous_host : host
+{
+    synchronous_host()
+    {
+        view.synchronous_replicas = 1;
+    }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(the_primary_of_a_group_with_synchronous_replicas)
+
+BOOST_AUTO_TEST_SUITE(is_fenced_before_it_is_replaced)
+
+// Guards against commits that the old primary acknowledges between the
+// comparison of the replicas and the promotion, because a replica that joined
+// meanwhile received them (review case 6).
+BOOST_FIXTURE_TEST_CASE(by_revoking_it_before_any_replica_is_paused,
+                        synchronous_host)
+{
+    observe(false, true);
+    handle(rows_with_votes(0));
+    handle(row_written{write_result::done, 10});
+    BOOST_REQUIRE(first_action<revoke_primary>());
+    BOOST_TEST(first_action<revoke_primary>()->server.value == "a");
+    BOOST_TEST(pauses().empty());
+    advance_clock(settings.revocation_delay);
+    BOOST_TEST(pauses().empty());
+    BOOST_REQUIRE(first_action<ask_member>());
+    BOOST_TEST(first_action<ask_member>()->server.value == "a");
+    answer("a", 9, core::member_role::primary);
+    BOOST_TEST(pauses().size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(by_each_host_that_sees_the_claim, synchronous_host)
+{
+    observe(false, true);
+    handle(claim_observed{claim{5, {"host-2"}, {"a"}, store_time}});
+    BOOST_REQUIRE(first_action<revoke_primary>());
+    BOOST_TEST(first_action<revoke_primary>()->server.value == "a");
+}
+
+BOOST_FIXTURE_TEST_CASE(by_a_step_down_that_it_confirms, synchronous_host)
+{
+    claim_of_leaving(9);
+    answer("b", 9);
+    answer("c", 7);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    BOOST_REQUIRE(first_action<ask_member>());
+    BOOST_TEST(*first_action<ask_member>()->step_down_at == 4U);
+    answer("a", 9);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    BOOST_TEST(first_action<order_promotion>()->server.value == "b");
+}
+
+// Guards against a takeover that never ends on a platform whose primaries
+// ignore the request.
+BOOST_FIXTURE_TEST_CASE(by_the_delay_alone_if_it_does_not_step_down,
+                        synchronous_host)
+{
+    claim_of_leaving(9);
+    answer("b", 9);
+    answer("c", 7);
+    answer("a", 9, core::member_role::primary);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    advance_clock(settings.revocation_delay);
+    BOOST_TEST(first_action<order_promotion>().has_value());
+}
+
+// Guards against losing what a replica receives that registers while the others
+// are compared.
+BOOST_FIXTURE_TEST_CASE(by_pausing_also_a_replica_that_joins_meanwhile,
+                        synchronous_host)
+{
+    claim_of_leaving(9);
+    answer("b", 9);
+    view.candidates.push_back({"e"});
+    handle(group_view_updated{view});
+    BOOST_TEST(
+        (pauses() == std::map<std::string, core::term_number>{{"e", 4}}));
+    answer("c", 7);
+    BOOST_TEST(!first_action<ask_member>().has_value());
+    answer("e", 9);
+    BOOST_TEST(first_action<ask_member>()->step_down_at.has_value());
+}
+
+// Guards against a group without a primary because the old one ended after the
+// claim: no host sends it statements, so none reports it as unreachable.
+BOOST_FIXTURE_TEST_CASE(for_a_limited_time_if_it_does_not_answer,
+                        synchronous_host)
+{
+    observe(false, true);
+    handle(rows_with_votes(0));
+    handle(row_written{write_result::done, 10});
+    advance_clock(settings.revocation_delay);
+    for (unsigned n = 1; n < settings.max_primary_queries; ++n)
+    {
+        no_answer("a");
+        BOOST_TEST(pauses().empty());
+        advance_clock(settings.answer_timeout);
+        BOOST_REQUIRE(first_action<ask_member>());
+    }
+    no_answer("a");
+    answer("b", 9);
+    answer("c", 7);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    BOOST_TEST(first_action<order_promotion>()->server.value == "b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against a host that asks the primary for its role without end after
+// another host has promoted a replica.
+BOOST_FIXTURE_TEST_CASE(is_left_alone_once_another_host_has_replaced_it,
+                        synchronous_host)
+{
+    claim_of_leaving(9);
+    answer("b", 9);
+    answer("c", 9);
+    now += settings.claim_ttl;
+    answer("a", 9);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    view.primary = core::server_id{"c"};
+    view.candidates = {{"b"}};
+    observe(false);
+    advance_clock(settings.retry_delay);
+    BOOST_REQUIRE(first_action<ask_member>());
+    answer("c", 9, core::member_role::primary);
+    BOOST_TEST(!is_active(state));
+    advance_clock(settings.retry_delay);
+    BOOST_TEST(!first_action<ask_member>().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/takeover/test/host.hpp
+++ b/libs/takeover/test/host.hpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "godwitbarrow/takeover/decide.hpp"
@@ -59,6 +60,28 @@
         handle(group_view_updated{view});
     }
 
+    /// Terms of the pauses that the last event asked for.
+    std::map<std::string, core::term_number> pauses() const
+    {
+        std::map<std::string, core::term_number> out;
+        for (const auto& a : last_actions)
+            if (const auto* it = std::get_if<ask_member>(&a))
+                if (it->pause_replication_at)
+                    out[it->server.value] = *it->pause_replication_at;
+        return out;
+    }
+
+    /// Replicas that the last event let receive again.
+    std::set<std::string> resumed() const
+    {
+        std::set<std::string> out;
+        for (const auto& a : last_actions)
+            if (const auto* it = std::get_if<ask_member>(&a))
+                if (it->resume_replication)
+                    out.insert(it->server.value);
+        return out;
+    }
+
     template <class Action>
     std::optional<Action> first_action() const
     {
@@ -112,6 +135,25 @@
         handle(rows_with_votes(3));
         BOOST_REQUIRE(first_action<write_claim>());
         handle(row_written{write_result::done, 10});
+        await_revocation();
+    }
+
+    /// Claims the takeover of a primary that is leaving and still answers.
+    void claim_of_leaving(std::uint64_t primary_position)
+    {
+        observe(false, true);
+        handle(rows_with_votes(0));
+        handle(row_written{write_result::done, 10});
+        await_revocation();
+        if (view.synchronous_replicas > 0)
+            answer("a", primary_position, core::member_role::primary);
+    }
+
+    /// Advances to the comparison of the log positions.
+    void await_revocation()
+    {
+        if (view.synchronous_replicas > 0)
+            advance_clock(settings.revocation_delay);
     }
 
     void advance_clock(core::duration duration)
--- a/test/pooled/deployment.hpp
+++ b/test/pooled/deployment.hpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <thread>
 
+#include "godwitbarrow/takeover/row.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "member_standin.hpp"
 #include "pooled/app.hpp"
@@ -150,6 +151,14 @@
         return it == groups.end() ? 0 : it->second.members.size();
     }
 
+    bool is_revoked(const std::string& server)
+    {
+        std::lock_guard lock(host->decisions.mutex);
+        const auto& revoked =
+            host->decisions.state.groups.at({"quotes"}).revoked;
+        return revoked && revoked->server.value == server;
+    }
+
     std::uint64_t configured_version()
     {
         std::lock_guard lock(host->decisions.mutex);
@@ -200,6 +209,19 @@
                R"(,"state":"ready","db_role":"primary","seq":1})";
     }
 
+    /// Writes the claim of another host.
+    void claim_takeover(const std::string& holder, const std::string& replaced)
+    {
+        const auto now = core::runtime_clock::now().time_since_epoch();
+        store.put(
+            "takeovers", "quotes",
+            takeover::encode(takeover::claim{
+                1,
+                {holder},
+                {replaced},
+                std::chrono::duration_cast<std::chrono::milliseconds>(now)}));
+    }
+
     void promote(const std::string& id)
     {
         data->primary = id;
@@ -208,7 +230,7 @@
             register_member(*m);
     }
 
-    void configure(int version)
+    void configure(int version, int synchronous_replicas = 0)
     {
         const auto route = [](const char* host, const char* type, int age)
         {
@@ -224,7 +246,9 @@
                       route("bounded", "bounded", 1500) + "," +
                       route("own", "session", 2500) +
                       R"(],"services":[{"name":"quotes","max_conns":16,)"
-                      R"("sync_replicas":0}],"limits":{"tx_idle_ms":3000}})");
+                      R"("sync_replicas":)" +
+                      std::to_string(synchronous_replicas) +
+                      R"(}],"limits":{"tx_idle_ms":3000}})");
     }
 };
 
--- a/test/pooled/pooled_test.cpp
+++ b/test/pooled/pooled_test.cpp
@@ -100,6 +100,25 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_another_host_replaces_the_primary)
+
+// Guards against writes to the old primary of a group with synchronous
+// replicas, which it acknowledges and the promoted replica lacks (review case
+// 6).
+BOOST_FIXTURE_TEST_CASE(sends_it_no_more_writes, deployment)
+{
+    at_standins([&] { configure(2, 1); });
+    wait_until([&] { return configured_version() == 2; });
+    at_standins([&] { claim_takeover("host-2", "a"); });
+    wait_until([&] { return is_revoked("a"); });
+    caller it(port, "newest");
+    it.line();
+    BOOST_TEST(it.query("WRITE 1 x").rfind("ERROR BUSY", 0) == 0U);
+    at_standins([&] { BOOST_TEST(data->writes == 0U); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(when_the_primary_goes_dark)
 
 BOOST_FIXTURE_TEST_CASE(promotes_a_replica_and_goes_on, deployment)
