Split the store watch of the pooler by job

Change: table_watch follows one table, host_census counts the hosts, store_watch takes the configuration and the registrations. The link to the store, the reading of a page and the pause are in store_link, once. Behaviour is as before.

Result: pooled_test passes.

--- /dev/null
+++ b/apps/proxy/src/pooled/host_census.cpp
@@ -0,0 +1,94 @@
+#include "host_census.hpp"
+
+#include <map>
+
+#include "godwitbarrow/platform/rows.hpp"
+#include "godwitbarrow/telemetry/log.hpp"
+#include "store_link.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+namespace detail
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds call_timeout{1200};
+constexpr std::chrono::milliseconds host_interval{3000};
+/// A host whose row did not change for this long is not counted.
+constexpr std::chrono::milliseconds host_limit{9500};
+constexpr std::string_view host_table = "hosts";
+
+/// Counts the hosts by how long ago their rows changed.
+struct host_census
+{
+    std::shared_ptr<service_link> link;
+    struct sighting
+    {
+        std::uint64_t version = 0;
+        core::time_point at;
+    };
+    std::map<std::string, sighting> seen;
+    std::size_t live = 1;
+};
+using census_ptr = std::shared_ptr<host_census>;
+
+void take_hosts(app& it, host_census& c, const platform::row_page& page)
+{
+    const auto now = core::runtime_clock::now();
+    std::size_t live = 0;
+    std::map<std::string, host_census::sighting> seen;
+    for (const auto& row : page.rows)
+    {
+        const auto known = c.seen.find(row.key);
+        auto s = known != c.seen.end() && known->second.version == row.version
+                     ? known->second
+                     : host_census::sighting{row.version, now};
+        if (now - s.at < host_limit)
+            ++live;
+        seen.emplace(row.key, s);
+    }
+    c.seen = std::move(seen);
+    if (live == c.live)
+        return;
+    c.live = live;
+    telemetry::log_event(telemetry::log_level::info, "hosts counted",
+                         {{"live", live}});
+    handle(it, pooler::host_count_changed{live});
+}
+
+void count_hosts(app& it, const census_ptr& c)
+{
+    call_service(it, c->link, platform::list_rows(std::string(host_table)),
+                 call_timeout,
+                 [&it, c](const http::exchange_result& got)
+                 {
+                     const auto page = page_of(got);
+                     if (ok(page))
+                         take_hosts(it, *c, std::get<platform::row_page>(page));
+                 });
+}
+
+void announce_host(app& it, const census_ptr& c)
+{
+    after(it, host_interval, [&it, c] { announce_host(it, c); });
+    platform::row own;
+    own.table = host_table;
+    own.key = it.settings.name.value;
+    own.value = it.settings.data_centre.value;
+    call_service(
+        it, c->link, platform::write_row(own, std::nullopt), call_timeout,
+        [&it, c](const http::exchange_result&) { count_hosts(it, c); });
+}
+
+}  // namespace
+}  // namespace detail
+
+void count_hosts(app& it)
+{
+    const auto census = std::make_shared<detail::host_census>();
+    census->link = make_store_link(it);
+    detail::announce_host(it, census);
+}
+
+}  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -10,6 +10,7 @@
 
 #include "app.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
+#include "host_census.hpp"
 #include "links.hpp"
 #include "store_watch.hpp"
 #include "takeovers.hpp"
@@ -138,6 +139,7 @@
     if (!ok(http))
         return http;
     watch_store(it);
+    count_hosts(it);
     watch_primaries(it);
     detail::keep_ticking(it, std::make_shared<core::timer>(it.io));
     return listen_for_callers(it);
--- a/apps/proxy/src/pooled/store_link.cpp
+++ b/apps/proxy/src/pooled/store_link.cpp
@@ -10,6 +10,13 @@
 }
 }  // namespace detail
 
+std::shared_ptr<service_link> make_store_link(const app& it)
+{
+    auto link = std::make_shared<service_link>();
+    link->to = it.settings.store;
+    return link;
+}
+
 void call_service(app& it, const std::shared_ptr<service_link>& on,
                   http::call what, std::chrono::milliseconds timeout,
                   std::function<void(http::exchange_result)> handler)
@@ -30,4 +37,24 @@
         });
 }
 
+core::result<platform::row_page> page_of(const http::exchange_result& got)
+{
+    if (const auto* a = std::get_if<http::answer>(&got))
+        return platform::parse_rows(*a);
+    return core::error{core::error_kind::store_unavailable,
+                       std::get<http::failure>(got).message};
+}
+
+void after(app& it, std::chrono::milliseconds pause,
+           std::function<void()> action)
+{
+    const auto t = std::make_shared<core::timer>(it.io, pause);
+    t->async_wait(
+        [t, action = std::move(action)](boost::system::error_code ec)
+        {
+            if (!ec)
+                action();
+        });
+}
+
 }  // namespace godwitbarrow::proxy::pooled
--- /dev/null
+++ b/apps/proxy/src/pooled/table_watch.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string_view>
+
+#include "app.hpp"
+#include "godwitbarrow/platform/rows.hpp"
+
+/// Follows a table of the store by calls that it holds until there is news.
+namespace godwitbarrow::proxy::pooled
+{
+
+struct watch_times
+{
+    /// How long the store holds a call without news.
+    std::chrono::milliseconds wait{3000};
+    /// How long its answer may take beyond that. A call without an answer by
+    /// then is lost.
+    std::chrono::milliseconds answer{1200};
+};
+
+/// Reads the table and passes on its rows, then what changes in it. `whole`
+/// tells that rows which are not in the page no longer exist.
+void watch_table(
+    app& it, std::string_view table, const watch_times& times,
+    std::function<void(const platform::row_page&, bool whole)> handler);
+
+}  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -4,7 +4,7 @@
 #include "godwitbarrow/takeover/row.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "store_link.hpp"
-#include "store_watch.hpp"
+#include "table_watch.hpp"
 
 namespace godwitbarrow::proxy::pooled
 {
@@ -15,7 +15,8 @@
 
 constexpr std::chrono::milliseconds store_limit{800};
 /// Time that the store holds a call without a new claim.
-constexpr std::chrono::milliseconds claim_wait{10000};
+constexpr watch_times claim_times{std::chrono::milliseconds(10000),
+                                  std::chrono::milliseconds(1200)};
 const std::string claim_table = "takeovers";
 const std::string vote_table = "takeover_votes";
 
@@ -56,26 +57,16 @@
         std::get<takeover::vote>(decoded);
 }
 
-std::optional<platform::row_page> rows_in(const http::exchange_result& got)
-{
-    const auto* a = std::get_if<http::answer>(&got);
-    if (!a)
-        return std::nullopt;
-    auto parsed = platform::parse_rows(*a);
-    if (!ok(parsed))
-        return std::nullopt;
-    return std::get<platform::row_page>(std::move(parsed));
-}
-
 takeover::event as_read(takeover::rows_read out, const group_id& group,
                         const http::exchange_result& got)
 {
-    const auto page = rows_in(got);
-    if (!page)
+    const auto read = page_of(got);
+    if (!ok(read))
         return takeover::store_failed{};
-    out.store_time = page->store_time;
+    const auto& page = std::get<platform::row_page>(read);
+    out.store_time = page.store_time;
     // Keys of other groups whose names continue this one may be between.
-    for (const auto& row : page->rows)
+    for (const auto& row : page.rows)
         if (row.key == group.value)
             add_claim(out, row);
     return out;
@@ -130,11 +121,11 @@
         detail::store_limit,
         [group, handler, read_claim](const http::exchange_result& got)
         {
-            const auto page = detail::rows_in(got);
-            if (!page)
+            const auto page = page_of(got);
+            if (!ok(page))
                 return handler(takeover::store_failed{});
             takeover::rows_read out;
-            for (const auto& row : page->rows)
+            for (const auto& row : std::get<platform::row_page>(page).rows)
                 detail::add_vote(out, group, row);
             read_claim(out);
         });
@@ -168,7 +159,7 @@
     std::function<void(const core::group_id& group, const takeover::claim& row)>
         handler)
 {
-    watch_table(it, detail::claim_table, detail::claim_wait,
+    watch_table(it, detail::claim_table, detail::claim_times,
                 [max_age, handler = std::move(handler)](
                     const platform::row_page& page, bool)
                 {
