Bound how long a lost call hides a configuration

Cause: the host waits for a change in a call that the store holds. If it is lost just after it was sent, 3,000 ms of wait, 1,200 ms for the answer and a pause of 300 ms pass before the next call: 4.5 s, constants that suit a deployment with a stable_ms of 5,000 and not one with 4,000.

Change: the wait and the time for the answer follow the limit of the deployment, with 0.5 s left for the call that finds the news. A limit below 1.5 s is refused.

Why it works: the sum of the path stays below the limit: 2.0 + 1.2 + 0.3 s and a call at 4 s, 3.0 + 1.2 + 0.3 s and a call at 5 s.

Cost: a call more in 6 s for each host where stable_ms is 4,000.

--- a/apps/proxy/src/main.cpp
+++ b/apps/proxy/src/main.cpp
@@ -57,9 +57,9 @@
         std::cerr << std::get<core::error>(parsed).message << '\n';
         return exit_bad_usage;
     }
-    if (std::get<proxy::options>(parsed).mode == proxy::process_mode::pooler)
-        return proxy::pooled::run(
-            std::get<proxy::options>(parsed).host_settings);
+    const auto& given = std::get<proxy::options>(parsed);
+    if (given.mode == proxy::process_mode::pooler)
+        return proxy::pooled::run(given.host_settings, given.change_limit);
     proxy::app it(std::get<proxy::options>(std::move(parsed)));
     telemetry::start_logging(it.settings_from.level);
     it.incarnation = make_incarnation();
--- a/apps/proxy/src/options.cpp
+++ b/apps/proxy/src/options.cpp
@@ -6,12 +6,17 @@
 #include <sstream>
 
 #include "godwitbarrow/platform/environment.hpp"
+#include "godwitbarrow/settings/units.hpp"
 
 DEFINE_string(mode, "gateway",
               "gateway: requests over HTTP; pooler: sessions of the platform");
 DEFINE_string(host_settings, "",
               "settings file of this host for --mode=pooler; without it, the "
               "file that the platform names");
+DEFINE_string(change_limit, "",
+              "longest time for which a lost call to the store may hide a "
+              "change of the configuration, for example 4s; at least 1500ms; "
+              "for --mode=pooler");
 DEFINE_string(host, "", "name of this host in the settings");
 DEFINE_string(platform, "", "address of the platform's service, IP:PORT");
 DEFINE_string(folder, "",
@@ -31,6 +36,8 @@
 {
 
 constexpr std::size_t most_workers = 64;
+/// The calls that a host follows the configuration by need this long.
+constexpr std::chrono::milliseconds shortest_change_limit{1500};
 
 core::error bad_flag(const std::string& flag, const std::string& remedy)
 {
@@ -61,6 +68,12 @@
         it.host_settings = named;
     if (it.host_settings.empty())
         return bad_flag("host_settings", "name the settings file of this host");
+    if (FLAGS_change_limit.empty())
+        return it;
+    it.change_limit = settings::parse_duration(FLAGS_change_limit);
+    if (!it.change_limit || *it.change_limit < shortest_change_limit)
+        return bad_flag("change_limit",
+                        "write a time with its unit, at least 1500ms");
     return it;
 }
 
--- a/apps/proxy/src/options.hpp
+++ b/apps/proxy/src/options.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -27,6 +28,8 @@
     process_mode mode = process_mode::gateway;
     /// Settings file of this host, in the mode `pooler`.
     std::string host_settings;
+    /// In the mode `pooler`: see `pooled::host_settings::change_limit`.
+    std::optional<std::chrono::milliseconds> change_limit;
     core::host_id host;
     core::endpoint platform;
     /// Folder of settings that this host publishes; empty for none.
--- a/apps/proxy/src/pooled/host_settings.hpp
+++ b/apps/proxy/src/pooled/host_settings.hpp
@@ -34,6 +34,9 @@
     std::chrono::milliseconds grace{5000};
     /// A leaving member gets no new statement after this time.
     std::chrono::milliseconds leaving_limit{5000};
+    /// A change of the configuration that a lost call to the store hid is in
+    /// force this long after the call at the latest.
+    std::chrono::milliseconds change_limit{4000};
 };
 
 /// Reads the file. Errors: invalid_settings with the line or the key and the
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -164,7 +164,8 @@
         n.join();
 }
 
-int run(const std::string& settings_path)
+int run(const std::string& settings_path,
+        std::optional<std::chrono::milliseconds> change_limit)
 {
     auto read = read_host_settings(settings_path);
     if (const auto* e = std::get_if<core::error>(&read))
@@ -174,7 +175,9 @@
     }
     telemetry::start_logging(telemetry::log_level::info,
                              telemetry::log_target::standard_output);
-    app it(std::get<host_settings>(std::move(read)));
+    auto settings = std::get<host_settings>(std::move(read));
+    settings.change_limit = change_limit.value_or(settings.change_limit);
+    app it(std::move(settings));
     boost::asio::signal_set signals(it.io, SIGTERM, SIGINT, SIGHUP);
     detail::await_signals(it, signals, false);
     const auto started = start(it);
--- a/apps/proxy/src/pooled/run.hpp
+++ b/apps/proxy/src/pooled/run.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -20,8 +22,10 @@
 /// Serves with the workers of the settings until the shutdown has ended.
 void run_workers(app& it);
 
-/// Runs the pooler with the settings file until it is told to stop. Returns
-/// the exit code of the process.
-int run(const std::string& settings_path);
+/// Runs the pooler with the settings file until it is told to stop. The limit,
+/// if there is one, replaces `host_settings::change_limit`. Returns the exit
+/// code of the process.
+int run(const std::string& settings_path,
+        std::optional<std::chrono::milliseconds> change_limit);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/store_watch.cpp
+++ b/apps/proxy/src/pooled/store_watch.cpp
@@ -106,7 +106,8 @@
 
 void watch_store(app& it)
 {
-    watch_table(it, platform::operator_table, watch_times{},
+    watch_table(it, platform::operator_table,
+                watch_times_for(it.settings.change_limit),
                 [&it](const platform::row_page& page, bool)
                 { detail::take_configuration(it, page); });
     const auto members = std::make_shared<detail::registry>();
--- a/apps/proxy/src/pooled/table_watch.cpp
+++ b/apps/proxy/src/pooled/table_watch.cpp
@@ -1,5 +1,7 @@
 #include "table_watch.hpp"
 
+#include <algorithm>
+
 #include "godwitbarrow/telemetry/log.hpp"
 #include "store_link.hpp"
 
@@ -10,7 +12,16 @@
 namespace
 {
 
+/// Longest time that the store holds a call without news.
+constexpr std::chrono::milliseconds longest_wait{3000};
+constexpr std::chrono::milliseconds shortest_wait{200};
+/// Longest time in which the store answers when it has news.
+constexpr std::chrono::milliseconds longest_answer{1200};
 constexpr std::chrono::milliseconds retry_pause{300};
+/// For the call that finds the news after a lost one: a new connection and an
+/// answer, on a host that is slow.
+constexpr std::chrono::milliseconds repeated_call{500};
+
 /// Follows one table: reads all rows, then what changes.
 struct table_watch
 {
@@ -72,6 +83,17 @@
 }  // namespace
 }  // namespace detail
 
+watch_times watch_times_for(std::chrono::milliseconds limit)
+{
+    // An answer that is only slow is not given up early, as a repeated call
+    // would be slow as well.
+    const auto answer = std::min(detail::longest_answer, limit * 3 / 10);
+    const auto wait =
+        limit - answer - detail::retry_pause - detail::repeated_call;
+    return {std::clamp(wait, detail::shortest_wait, detail::longest_wait),
+            answer};
+}
+
 void watch_table(
     app& it, std::string_view table, const watch_times& times,
     std::function<void(const platform::row_page&, bool whole)> handler)
--- a/apps/proxy/src/pooled/table_watch.hpp
+++ b/apps/proxy/src/pooled/table_watch.hpp
@@ -20,6 +20,11 @@
     std::chrono::milliseconds answer{1200};
 };
 
+/// Returns the times with which a call that was lost just after it was sent
+/// hides news no longer than the limit, which has to be at least 1500 ms: until
+/// it is given up, and the next call is answered.
+watch_times watch_times_for(std::chrono::milliseconds limit);
+
 /// Reads the table and passes on its rows, then what changes in it. `whole`
 /// tells that rows which are not in the page no longer exist.
 void watch_table(
--- a/test/pooled/deployment.hpp
+++ b/test/pooled/deployment.hpp
@@ -188,6 +188,19 @@
         done.get_future().wait();
     }
 
+    /// Whether the store holds a call of the host until the table changes.
+    bool awaits_changes(const std::string& table)
+    {
+        bool out = false;
+        at_standins(
+            [&]
+            {
+                for (const auto& call : store.waiting)
+                    out = out || call.table == table;
+            });
+        return out;
+    }
+
     void register_member(const member_standin& m, bool leaving = false)
     {
         store.put("servers", m.id,
--- a/test/pooled/store_test.cpp
+++ b/test/pooled/store_test.cpp
@@ -1,4 +1,5 @@
 #include "deployment.hpp"
+#include "pooled/table_watch.hpp"
 
 using namespace godwitbarrow;
 using namespace godwitbarrow::test;
@@ -11,6 +12,25 @@
 
 }  // namespace
 
+BOOST_AUTO_TEST_SUITE(a_call_that_waits_for_changes)
+
+// Guards against calls whose loss hides a change for longer than a deployment
+// allows; 1500 ms is the least limit that the command line accepts.
+BOOST_AUTO_TEST_CASE(is_given_up_and_repeated_within_any_limit)
+{
+    constexpr auto pause_and_repeated_call = 800ms;
+    for (auto limit = 1500ms; limit <= 10s; limit += 100ms)
+    {
+        const auto times = proxy::pooled::watch_times_for(limit);
+        BOOST_TEST(
+            (times.wait + times.answer + pause_and_repeated_call <= limit));
+        BOOST_TEST((times.wait >= 200ms));
+        BOOST_TEST((times.answer >= 300ms));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_host_on_the_platform)
 
 BOOST_AUTO_TEST_SUITE(when_the_store_is_away)
@@ -50,6 +70,23 @@
         (std::chrono::steady_clock::now() - before < configuration_bound));
 }
 
+// Guards against a configuration that stays unknown for longer than the
+// platform allows: the connection to the store goes silent just after a call
+// that waits for changes was sent (review case 10).
+BOOST_FIXTURE_TEST_CASE(follows_it_within_the_limit_after_a_lost_call,
+                        deployment)
+{
+    at_standins([&]
+                { store.put("op", "other", "ends the call that is held"); });
+    wait_until([&] { return awaits_changes("op"); });
+    const auto lost = std::chrono::steady_clock::now();
+    at_standins([&] { standins::silence_sessions(store.server, nullptr); });
+    at_standins([&] { configure(2); });
+    wait_until([&] { return configured_version() == 2; });
+    BOOST_TEST((std::chrono::steady_clock::now() - lost <
+                host->settings.change_limit));
+}
+
 BOOST_FIXTURE_TEST_CASE(reads_anew_what_it_missed, deployment)
 {
     at_standins(
