Promote no replica that lacks commits of a fenced primary

Cause: the replicas to compare and the number of reports needed came from the registrations. A replica whose registration had lapsed still received and had commits acknowledged that no registered replica had; the old primary, which was alive and knew them, was not asked for its position.

Change: the position that the fenced primary reports bounds what may have been acknowledged. A replica below it is not promoted: the replicas receive again and are compared anew. If the old primary got ahead before its step-down, it is a candidate itself; once its registration has gone the others are compared without it.

Why it works: whatever received a commit, the primary that acknowledged it has it.

The model of the soak did not let a primary that had stepped down lead again when it was promoted; model_test has a case for it.

--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -264,7 +264,8 @@
     /// queries in a row it left unanswered.
     std::optional<core::time_point> primary_queried_at;
     unsigned unanswered_primary_queries = 0;
-    /// Log position that the old primary reported while it still led.
+    /// Log position that the old primary reported while it still led. Commits
+    /// up to it may have been acknowledged.
     std::optional<core::log_position> primary_position;
     /// Whether that primary has become a replica and has no successor yet.
     bool primary_stepped_down = false;
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -207,6 +207,33 @@
     enter_phase(ctx, phase::revoking);
 }
 
+/// Whether the old primary has commits that the member lacks. They may have
+/// been acknowledged by a replica that is not registered.
+bool lacks_commits(const takeover_state& state, const core::log_position& at)
+{
+    return pauses_replication(state) && state.primary_position &&
+           at < *state.primary_position;
+}
+
+/// Starts the comparison anew. The replicas receive again meanwhile, so that
+/// they can catch up.
+void compare_again(context& ctx)
+{
+    report_step(ctx, "replicas behind primary", ctx.state.replaced,
+                "primary has " + to_string(*ctx.state.primary_position));
+    resume_replicas(ctx, ctx.state.replaced);
+    pause_for(ctx, ctx.settings.retry_delay);
+}
+
+/// Promotes the target unless the old primary has got ahead of it.
+void send_promotion_if_complete(context& ctx)
+{
+    const auto& state = ctx.state;
+    if (lacks_commits(state, state.reports.at(state.target).received))
+        return compare_again(ctx);
+    send_promotion(ctx);
+}
+
 void query_members(context& ctx)
 {
     auto& state = ctx.state;
@@ -220,6 +247,9 @@
                              state.view.leaving_members.end());
     if (!state.primary_stepped_down)
         state.queried.erase(state.replaced);
+    // A primary that stepped down and has left cannot be promoted again.
+    else if (state.queried.count(state.replaced) == 0)
+        state.primary_position.reset();
     for (const auto& id : state.queried)
         query_member(ctx, id);
     if (state.queried.empty())
@@ -325,6 +355,8 @@
     if (!best || !enough_reports(state) ||
         state.refused_targets.count(best->server) > 0)
         return pause_for(ctx, ctx.settings.retry_delay);
+    if (lacks_commits(state, best->received))
+        return compare_again(ctx);
     state.target = best->server;
     report_step(ctx, "promotion ordered", state.target,
                 "received " + to_string(best->received) + " token " +
@@ -350,7 +382,8 @@
     if (state.current_phase != phase::revoking)
         return;
     state.primary_stepped_down = true;
-    send_promotion(ctx);
+    state.primary_position = input.report->received;
+    send_promotion_if_complete(ctx);
 }
 
 void repeat_step_down(context& ctx)
@@ -365,9 +398,10 @@
     const auto waited = ctx.now - ctx.state.phase_entered_at;
     if (waited < ctx.settings.revocation_delay)
         return;
-    if (!pauses_replication(ctx.state) || is_primary_lost(ctx) ||
-        ctx.state.primary_position)
+    if (!pauses_replication(ctx.state) || is_primary_lost(ctx))
         return send_promotion(ctx);
+    if (ctx.state.primary_position)
+        return send_promotion_if_complete(ctx);
     if (waited < ctx.settings.answer_timeout)
         return;
     ++ctx.state.unanswered_primary_queries;
--- a/libs/takeover/test/fencing_test.cpp
+++ b/libs/takeover/test/fencing_test.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+using names = std::set<std::string>;
+
 /// A group that acknowledges a commit once one replica has received it.
 struct synchronous_host : host
 {
@@ -15,6 +17,26 @@
     {
         view.synchronous_replicas = 1;
     }
+
+    /// The claim of this host as the store returns it.
+    rows_read own_claim() const
+    {
+        auto rows = rows_with_votes(0);
+        rows.last_claim = claim{5, settings.self, {"a"}, store_time - 500ms};
+        return rows;
+    }
+
+    /// Goes through the pause after a comparison that came to nothing, up to
+    /// the next log position of the primary.
+    void compare_again(std::uint64_t primary_position)
+    {
+        advance_clock(settings.retry_delay);
+        BOOST_REQUIRE(first_action<read_rows>());
+        handle(own_claim());
+        BOOST_REQUIRE(first_action<ask_member>());
+        BOOST_TEST(first_action<ask_member>()->server.value == "a");
+        answer("a", primary_position, core::member_role::primary);
+    }
 };
 
 }  // namespace
@@ -120,6 +142,64 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(has_commits_that_its_registered_replicas_lack)
+
+// Guards against losing commits that were acknowledged because a replica
+// without a registration had received them (review case 7).
+BOOST_FIXTURE_TEST_CASE(and_is_replaced_once_they_have_caught_up,
+                        synchronous_host)
+{
+    claim_of_leaving(56);
+    answer("b", 45);
+    answer("c", 40);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    BOOST_TEST((resumed() == names{"b", "c"}));
+    compare_again(56);
+    answer("b", 56);
+    answer("c", 40);
+    answer("a", 56);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    BOOST_TEST(first_action<order_promotion>()->server.value == "b");
+}
+
+// Guards against commits that a host which does not see the claim sends after
+// the comparison.
+BOOST_FIXTURE_TEST_CASE(when_it_steps_down_and_leads_again, synchronous_host)
+{
+    view.leaving_members = {{"a"}};
+    claim_of_leaving(45);
+    answer("b", 45);
+    answer("c", 40);
+    answer("a", 56);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    advance_clock(settings.retry_delay);
+    handle(own_claim());
+    answer("a", 56);
+    answer("b", 45);
+    answer("c", 40);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    BOOST_TEST(first_action<order_promotion>()->server.value == "a");
+}
+
+// Guards against a group without a primary after the old one has stepped down
+// and left.
+BOOST_FIXTURE_TEST_CASE(and_is_replaced_without_them_once_it_has_left,
+                        synchronous_host)
+{
+    claim_of_leaving(45);
+    answer("b", 45);
+    answer("c", 40);
+    answer("a", 56);
+    advance_clock(settings.retry_delay);
+    handle(own_claim());
+    answer("b", 45);
+    answer("c", 40);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    BOOST_TEST(first_action<order_promotion>()->server.value == "b");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 // Guards against a host that asks the primary for its role without end after
 // another host has promoted a replica.
 BOOST_FIXTURE_TEST_CASE(is_left_alone_once_another_host_has_replaced_it,
--- a/test/model/src/group.cpp
+++ b/test/model/src/group.cpp
@@ -53,7 +53,8 @@
     const auto server = it.promotion->server;
     it.promotion.reset();
     const auto m = it.members.find(server);
-    if (m == it.members.end() || !m->second.running || server == it.primary)
+    const bool leads_already = server == it.primary && !it.stepped_down;
+    if (m == it.members.end() || !m->second.running || leads_already)
         return;
     for (const auto& made : it.members.at(it.primary).log)
         if (!contains(m->second, *made))
@@ -130,7 +131,7 @@
     const auto m = it.members.find(server);
     if (m == it.members.end() || !m->second.running)
         return false;
-    if (server != it.primary)
+    if (server != it.primary || it.stepped_down)
         it.promotion = pending_promotion{server, now + it.promotion_time};
     return true;
 }
--- a/test/model/test/group_test.cpp
+++ b/test/model/test/group_test.cpp
@@ -96,6 +96,16 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_CASE(is_led_again_by_a_primary_that_stepped_down)
+{
+    step_down(all, {"a"}, 2);
+    BOOST_TEST(!leads(all, {"a"}));
+    BOOST_TEST(order_promotion(all, {"a"}, now));
+    pass(600ms);
+    BOOST_TEST(leads(all, {"a"}));
+    BOOST_TEST(all.term == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(acknowledges_synchronous_commits_once_a_replica_has_them)
 {
     all.synchronous_replicas = 1;
