Answer every statement that a stopping host takes

Cause: statements were accepted until 2 s before the end of the grace, whatever the timeout of their route, and the process exits 0.5 s before that end with what is still running.

Change: statements end 0.2 s before the process exits. Once the balancer has noticed the shutdown, a statement whose route allows it to take longer is refused at once as busy. What was accepted earlier, or ran when the signal came, times out at that end and is answered. A commit after the time for open transactions is aborted if it may take longer. A refused caller is disconnected once it pauses, so that a statement sent right behind the refused one is answered; at once in the last 2 s of the grace and for a BEGIN, as before.

Why it works: no accepted statement can run when the process exits.

--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds balancer_delay{2300};
 /// Left of the grace for the end of the process.
 constexpr std::chrono::milliseconds exit_margin{500};
+/// For the answers to statements that time out at the end of a shutdown.
+constexpr std::chrono::milliseconds answer_margin{200};
 /// Left of the grace for the last statements and the end of the process.
 constexpr std::chrono::milliseconds last_statements{2000};
 
@@ -87,6 +89,9 @@
     to.leaving_primary_limit =
         std::min(to.leaving_primary_limit, from.leaving_limit / 2);
     to.shutdown_transactions = from.grace / 2;
+    to.shutdown_notice = std::min(balancer_delay, from.grace / 2);
+    to.shutdown_limit =
+        std::max(from.grace - exit_margin - answer_margin, from.grace / 2);
     to.shutdown_statements =
         std::max(from.grace - last_statements, from.grace / 2);
 }
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -96,8 +96,16 @@
     std::size_t max_shared_shapes = 4096;
     /// During shutdown, open transactions have this long to end.
     std::chrono::milliseconds shutdown_transactions{2500};
-    /// New statements are refused once a shutdown has lasted this long, because
-    /// they could not complete before the process exits.
+    /// Until the balancer has noticed the shutdown, it sends new callers, whose
+    /// statements are accepted.
+    std::chrono::milliseconds shutdown_notice{2300};
+    /// Statements end this long after the start of a shutdown at the latest, so
+    /// that they are answered before the process exits. After
+    /// `shutdown_notice`, a statement that its route allows to take longer is
+    /// refused.
+    std::chrono::milliseconds shutdown_limit{5300};
+    /// Once a shutdown has lasted this long, new statements are refused and
+    /// their callers are disconnected at once.
     std::chrono::milliseconds shutdown_statements{4000};
 };
 
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -50,7 +50,9 @@
         if (it == ctx.pooler.sessions.end() || !it->second.current)
             continue;
         auto& p = *it->second.current;
-        if (p.retry_on_held && ctx.now >= p.deadline)
+        if (p.queued && ctx.now >= p.deadline)
+            fail_queued(ctx, number, "the host is shutting down");
+        else if (p.retry_on_held && ctx.now >= p.deadline)
             fail_statement(ctx, number, failure_code::aborted,
                            "the member was busy until the statement timed out");
         else if (p.retry_on_held && writes_on_revoked_primary(ctx, it->second))
@@ -151,6 +153,8 @@
 {
     if (!ctx.pooler.shutdown_since)
         ctx.pooler.shutdown_since = ctx.now;
+    for (const auto number : ctx.pooler.active_sessions)
+        limit_to_shutdown(ctx, *ctx.pooler.sessions.at(number).current);
     expire_sessions(ctx);
 }
 
--- a/libs/pooler/src/output.hpp
+++ b/libs/pooler/src/output.hpp
@@ -20,6 +20,9 @@
 void fail_statement(context& ctx, session_number number, failure_code code,
                     std::string reason);
 
+/// Takes the current statement out of its queue and refuses it as busy.
+void fail_queued(context& ctx, session_number number, std::string reason);
+
 /// Completes the current statement without involving a member.
 void answer_locally(context& ctx, session_number number, statement_result what);
 
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -180,14 +180,19 @@
 }
 
 /// Refuses the statement because of a shutdown. A caller outside a transaction
-/// is disconnected, so that it reconnects through another host.
+/// is disconnected, so that it reconnects through another host: at once if it
+/// asked for a transaction or the process exits soon, else once it pauses, so
+/// that a statement which it has sent behind this one is answered too.
 void refuse_late(context& ctx, session_number number)
 {
     constexpr auto reason = "this host is shutting down";
-    if (ctx.pooler.sessions.at(number).tx.phase != transaction_phase::none)
+    const auto& s = ctx.pooler.sessions.at(number);
+    if (s.tx.phase != transaction_phase::none)
         return fail_statement(ctx, number, failure_code::aborted, reason);
+    const bool at_once =
+        is_closing(ctx) || begins_transaction(s.current->request.stmt);
     answer_locally(ctx, number, failure{failure_code::busy, reason});
-    if (ctx.pooler.sessions.count(number) > 0)
+    if (at_once && ctx.pooler.sessions.count(number) > 0)
         close_session(ctx, number);
 }
 
@@ -197,16 +202,19 @@
     s.current.emplace();
     s.current->request = std::move(what);
     s.current->arrived = ctx.now;
+    const bool configured = is_configured(ctx.pooler);
+    const bool routed = configured && update_route(ctx.pooler, s);
     if (comes_too_late(ctx, s, s.current->request.stmt))
         return refuse_late(ctx, number);
-    if (!is_configured(ctx.pooler) && needs_route(s.current->request.stmt.kind))
+    if (!configured && needs_route(s.current->request.stmt.kind))
         return answer_locally(
             ctx, number,
             failure{failure_code::busy, "this host has no configuration yet"});
-    if (is_configured(ctx.pooler) && !update_route(ctx.pooler, s))
+    if (configured && !routed)
         return answer_locally(
             ctx, number, failure{failure_code::unknown_database, s.database});
     s.current->deadline = ctx.now + s.active_route.statement_timeout;
+    limit_to_shutdown(ctx, *s.current);
     ctx.pooler.active_sessions.insert(number);
     run_statement(ctx, number, s);
 }
@@ -314,6 +322,15 @@
                      {{}, failure{code, std::move(reason)}, state_of(s), {}});
 }
 
+void fail_queued(context& ctx, session_number number, std::string reason)
+{
+    auto& s = ctx.pooler.sessions.at(number);
+    auto& g = ctx.pooler.groups.at(s.active_route.group);
+    admission::remove(queue_of(g, *s.current), {std::to_string(number)});
+    s.current->queued = false;
+    fail_statement(ctx, number, failure_code::busy, std::move(reason));
+}
+
 void answer_locally(context& ctx, session_number number, statement_result what)
 {
     const auto& s = ctx.pooler.sessions.at(number);
@@ -359,12 +376,7 @@
     if (!s.current)
         return erase_session(ctx, number);
     if (s.current->queued)
-    {
-        auto& g = ctx.pooler.groups.at(s.active_route.group);
-        admission::remove(queue_of(g, *s.current), {std::to_string(number)});
-        return fail_statement(ctx, number, failure_code::busy,
-                              "caller disconnected");
-    }
+        return fail_queued(ctx, number, "caller disconnected");
     // A statement that is already running on a member is left to complete.
     if (s.current->retry_on_held)
         fail_statement(ctx, number, failure_code::aborted,
--- a/libs/pooler/src/shutdown.hpp
+++ b/libs/pooler/src/shutdown.hpp
@@ -7,6 +7,17 @@
 namespace godwitbarrow::pooler::detail
 {
 
+/// Time by which all statements have to end; none without a shutdown.
+std::optional<core::time_point> shutdown_deadline(const context& ctx);
+
+/// Lets the statement time out in time for an answer before the process exits.
+void limit_to_shutdown(const context& ctx, pending_statement& what);
+
+/// Whether the process exits so soon that callers are disconnected at once.
+bool is_closing(const context& ctx);
+
+bool begins_transaction(const statement& it);
+
 /// Whether a shutdown has lasted so long that transactions have to end.
 bool ends_transactions(const context& ctx);
 
--- a/libs/pooler/test/shutdown_test.cpp
+++ b/libs/pooler/test/shutdown_test.cpp
@@ -179,4 +179,106 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(with_a_route_whose_statements_may_take_long)
+
+struct slow_route : pooler_fixture
+{
+    slow_route()
+    {
+        allow(3s);
+        start(1, "newest");
+    }
+
+    /// Sets the timeout of all routes.
+    void allow(std::chrono::milliseconds timeout)
+    {
+        auto c = pooler_state.active_configuration;
+        ++c.version;
+        for (auto& [database, route] : c.routes)
+            route.statement_timeout = timeout;
+        post(configuration_changed{c});
+    }
+
+    void stop_and_wait(core::duration time)
+    {
+        post(shutdown_started{});
+        now += time;
+    }
+};
+
+// Guards against a statement that is passed on and not answered, because the
+// process exits before the timeout of its route (review case 8).
+BOOST_FIXTURE_TEST_CASE(refuses_what_may_outlast_the_process, slow_route)
+{
+    stop_and_wait(pooler_state.settings.shutdown_limit - 3s + 1ms);
+    query(1, verb::read, "READ 1");
+    BOOST_TEST(outcome(1) == "busy");
+    BOOST_TEST(!first_of<open_connection>());
+    BOOST_TEST(!first_of<send_to_member>());
+}
+
+BOOST_FIXTURE_TEST_CASE(accepts_what_ends_in_time, slow_route)
+{
+    stop_and_wait(pooler_state.settings.shutdown_limit - 3s);
+    query(1, verb::write, "WRITE 1 x");
+    succeed(sent().connection, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(outcome(1) == "success");
+}
+
+// Guards against a connection that ends under a statement which the caller sent
+// right behind a refused one: it could not tell that this one did not run.
+BOOST_FIXTURE_TEST_CASE(disconnects_refused_callers_once_they_pause, slow_route)
+{
+    stop_and_wait(3s);
+    for (int n = 0; n < 3; ++n)
+    {
+        query(1, verb::write, "WRITE 1 x");
+        BOOST_TEST(outcome(1) == "busy");
+        BOOST_TEST(!first_of<close_caller>());
+        wait(25ms);
+    }
+    wait(pooler_state.settings.shutdown_idle);
+    BOOST_TEST(first_of<close_caller>().has_value());
+    BOOST_TEST(open_sessions(pooler_state) == 0U);
+}
+
+// Guards against refusing all callers that the balancer still sends.
+BOOST_FIXTURE_TEST_CASE(accepts_all_until_the_balancer_has_noticed, slow_route)
+{
+    allow(20s);
+    stop_and_wait(pooler_state.settings.shutdown_notice - 1ms);
+    query(1, verb::write, "WRITE 1 x");
+    succeed(sent().connection, {1, 6}, session_state::idle, "s");
+    BOOST_TEST(outcome(1) == "success");
+}
+
+// Guards against a statement that is running when the shutdown begins and is
+// cut off without an answer when the process exits.
+BOOST_FIXTURE_TEST_CASE(answers_what_runs_until_the_end, slow_route)
+{
+    allow(20s);
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_REQUIRE(first_of<send_to_member>() || first_of<open_connection>());
+    sent();
+    post(shutdown_started{});
+    wait(pooler_state.settings.shutdown_limit - 25ms);
+    BOOST_TEST(!reply(1));
+    wait(25ms);
+    BOOST_TEST(outcome(1) == "in doubt");
+}
+
+BOOST_FIXTURE_TEST_CASE(aborts_a_late_commit_that_may_outlast_the_process,
+                        slow_route)
+{
+    const auto c = open_transaction(2);
+    post(shutdown_started{});
+    query(2, verb::write, "WRITE 2 x");
+    now += pooler_state.settings.shutdown_transactions;
+    succeed(c, {1, 5}, session_state::in_transaction, "signed");
+    query(2, verb::commit);
+    BOOST_TEST(outcome(2) == "aborted");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
