Compare pauses of replicas with the terms of logs

Cause: a pause counted if it was at or above the newest term that any member had reported, and members report the term of a pause as their newest.

Change: a pause is compared with the newest term of a log position.

Result: settles_for_pauses_at_different_terms failed before (3 checks) and passes.

--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -289,6 +289,8 @@
     std::set<core::server_id> refused_targets;
     /// Highest term reported by any member.
     core::term_number newest_term = 0;
+    /// Highest term of a log position reported by any member.
+    core::term_number newest_log_term = 0;
 };
 
 /// Processes one event and returns the actions to perform.
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -98,8 +98,12 @@
 {
     auto& state = ctx.state;
     if (input.report)
+    {
         state.newest_term =
             std::max(state.newest_term, input.report->newest_term);
+        state.newest_log_term =
+            std::max(state.newest_log_term, input.report->received.term);
+    }
     handle_step_down(ctx, input);
     if (state.current_phase == phase::confirming)
         return handle_confirmation(ctx, input);
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -109,13 +109,16 @@
     return state.view.synchronous_replicas > 0;
 }
 
-/// Returns whether the member receives nothing more, so that the position in
-/// its report is final. A member that leads has no pause.
+/// Whether the member receives nothing more, so that the position in its report
+/// is final. A member that leads has no pause.
 bool has_stopped(const takeover_state& state, const member_report& report)
 {
     if (!pauses_replication(state) || report.role == core::member_role::primary)
         return true;
-    return report.paused_at > 0 && report.paused_at >= state.newest_term;
+    // The pauses of other members raise the newest term that they report, so it
+    // is compared with those of the logs only.
+    return report.paused_at >
+           std::max(state.newest_log_term, state.view.newest_term);
 }
 
 void query_member(context& ctx, const core::server_id& id)
@@ -146,7 +149,8 @@
         }
         report_step(ctx, "replica not paused", id,
                     "paused at " + std::to_string(report.paused_at) +
-                        ", newest term " + std::to_string(state.newest_term));
+                        ", newest log term " +
+                        std::to_string(state.newest_log_term));
         if (state.pause_terms[id] < next_term(state))
             query_member(ctx, id);
         it = state.reports.erase(it);
--- a/libs/takeover/test/claim_test.cpp
+++ b/libs/takeover/test/claim_test.cpp
@@ -201,6 +201,24 @@
     BOOST_TEST(first_action<order_promotion>().has_value());
 }
 
+// Guards against replicas that are paused in turn without end, thousands of
+// times a second: each pause raised the newest term that the members report, so
+// that the pauses of the others counted as too old (soak seed 723).
+BOOST_FIXTURE_TEST_CASE(settles_for_pauses_at_different_terms, releasing_host)
+{
+    claim_of_leaving(40);
+    answer("b", 40);
+    view.candidates.push_back({"e"});
+    handle(group_view_updated{view});
+    BOOST_TEST((pauses() == pause_terms{{"e", 5}}));
+    answer("e", 40);
+    BOOST_TEST(pauses().empty());
+    answer("c", 40);
+    BOOST_TEST(pauses().empty());
+    BOOST_REQUIRE(first_action<ask_member>());
+    BOOST_TEST(first_action<ask_member>()->step_down_at.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(promotes_none_and_asks_each_once_a_term, releasing_host)
 {
     claim_of_leaving(40);
