Compare a primary that stepped down for a host that failed

Cause: a host had the old primary of a group with synchronous replicas step down and was killed before the promotion.

Change: the old primary is asked before the comparison also if callers do not reach it, once. If it answers as a replica it is compared, and promoted if it alone has the newest commits.

Result: when_another_host_had_it_step_down failed before (4 checks) and passes. The fixture answers the new question; the case of a primary that has left takes it out of the view now.

--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -185,12 +185,23 @@
 }
 
 /// Whether the group has no primary that could acknowledge a commit or report
-/// its log position.
+/// its log position. One that callers do not reach is queried once: it may have
+/// stepped down for a host that has failed since.
 bool is_primary_lost(const context& ctx)
 {
     const auto& state = ctx.state;
-    return state.replaced.value.empty() || state.view.unreachable ||
-           state.unanswered_primary_queries >= ctx.settings.max_primary_queries;
+    const auto limit =
+        state.view.unreachable ? 1U : ctx.settings.max_primary_queries;
+    return state.replaced.value.empty() ||
+           state.unanswered_primary_queries >= limit;
+}
+
+bool is_registered(const takeover_state& state, const core::server_id& id)
+{
+    const auto& candidates = state.view.candidates;
+    return state.view.primary == id || is_leaving(state, id) ||
+           std::find(candidates.begin(), candidates.end(), id) !=
+               candidates.end();
 }
 
 /// Promotes the target at once, or first has the old primary step down. The old
@@ -251,8 +262,10 @@
                              state.view.leaving_members.end());
     if (!state.primary_stepped_down)
         state.queried.erase(state.replaced);
-    // A primary that stepped down and has left cannot be promoted again.
-    else if (state.queried.count(state.replaced) == 0)
+    else if (is_registered(state, state.replaced))
+        state.queried.insert(state.replaced);
+    else
+        // It has left and cannot be promoted again.
         state.primary_position.reset();
     for (const auto& id : state.queried)
         query_member(ctx, id);
@@ -283,6 +296,8 @@
         return query_members(ctx);
     state.primary_queried_at.reset();
     state.primary_position.reset();
+    if (state.view.unreachable)
+        state.unanswered_primary_queries = 0;
     enter_phase(ctx, phase::fencing);
     revoke(ctx);
     continue_fencing(ctx);
--- a/libs/takeover/test/fencing_test.cpp
+++ b/libs/takeover/test/fencing_test.cpp
@@ -181,6 +181,27 @@
     BOOST_TEST(first_action<order_promotion>()->server.value == "a");
 }
 
+// Guards against losing its commits after the host that had it step down was
+// killed before the promotion (soak seed 723).
+BOOST_FIXTURE_TEST_CASE(when_another_host_had_it_step_down, synchronous_host)
+{
+    observe(true);
+    answer("a", 56);
+    handle(rows_with_votes(3));
+    handle(row_written{write_result::done, 10});
+    await_revocation();
+    BOOST_REQUIRE(first_action<ask_member>());
+    BOOST_TEST(first_action<ask_member>()->server.value == "a");
+    answer("a", 56);
+    BOOST_TEST(pauses().size() == 3U);
+    answer("b", 45);
+    answer("c", 40);
+    BOOST_TEST(!first_action<order_promotion>().has_value());
+    answer("a", 56);
+    BOOST_REQUIRE(first_action<order_promotion>());
+    BOOST_TEST(first_action<order_promotion>()->server.value == "a");
+}
+
 // Guards against a group without a primary after the old one has stepped down
 // and left.
 BOOST_FIXTURE_TEST_CASE(and_is_replaced_without_them_once_it_has_left,
@@ -190,6 +211,8 @@
     answer("b", 45);
     answer("c", 40);
     answer("a", 56);
+    view.primary.reset();
+    observe(true);
     advance_clock(settings.retry_delay);
     handle(own_claim());
     answer("b", 45);
--- a/libs/takeover/test/host.hpp
+++ b/libs/takeover/test/host.hpp
@@ -139,6 +139,8 @@
         BOOST_REQUIRE(first_action<write_claim>());
         handle(row_written{write_result::done, 10});
         await_revocation();
+        if (view.synchronous_replicas > 0)
+            no_answer("a");
     }
 
     /// Claims the takeover of a primary that is leaving and still answers.
