End the pauses of a host that failed after a takeover

Cause: only the host that paused the replicas let them receive again, 2 s after the promotion; it was killed before. A resume that did not reach its replica was not repeated either.

Change: the claim row is marked while replicas may be paused for it. Once its holder must have failed, a host that sees a healthy primary asks all replicas to receive again, until each reports that it does, and clears the mark. Rows of earlier versions lack the mark and are read as before; earlier versions ignore it.

--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -17,6 +17,8 @@
 /// Time that the store holds a call without a new claim.
 constexpr watch_times claim_times{std::chrono::milliseconds(10000),
                                   std::chrono::milliseconds(1200)};
+/// Of a claim whose time is of an earlier clock of the store.
+constexpr std::chrono::milliseconds unknown_age = std::chrono::hours(1);
 const std::string claim_table = "takeovers";
 const std::string vote_table = "takeover_votes";
 
@@ -87,6 +89,15 @@
                                  std::get<std::uint64_t>(parsed)};
 }
 
+platform::row claim_row(const group_id& group, const takeover::claim& claim)
+{
+    platform::row out;
+    out.table = claim_table;
+    out.key = group.value;
+    out.value = takeover::encode(claim);
+    return out;
+}
+
 void write(app& it, const std::shared_ptr<service_link>& on,
            const platform::row& row, std::optional<std::uint64_t> expected,
            takeover_handler handler)
@@ -136,11 +147,16 @@
                      const takeover::write_claim& what,
                      takeover_handler handler)
 {
-    platform::row row;
-    row.table = detail::claim_table;
-    row.key = group.value;
-    row.value = takeover::encode(what.row);
-    detail::write(it, on, row, what.expected_version, std::move(handler));
+    detail::write(it, on, detail::claim_row(group, what.row),
+                  what.expected_version, std::move(handler));
+}
+
+void write_cleared_row(app& it, const std::shared_ptr<service_link>& on,
+                       const core::group_id& group,
+                       const takeover::clear_pauses& what)
+{
+    detail::write(it, on, detail::claim_row(group, what.row),
+                  what.expected_version, [](const takeover::event&) {});
 }
 
 void write_vote_row(app& it, const std::shared_ptr<service_link>& on,
@@ -154,26 +170,29 @@
     detail::write(it, on, row, std::nullopt, std::move(handler));
 }
 
-void watch_claims(
-    app& it, std::chrono::milliseconds max_age,
-    std::function<void(const core::group_id& group, const takeover::claim& row)>
-        handler)
-{
-    watch_table(it, detail::claim_table, detail::claim_times,
-                [max_age, handler = std::move(handler)](
-                    const platform::row_page& page, bool)
-                {
-                    for (const auto& row : page.rows)
-                    {
-                        takeover::rows_read found;
-                        if (!row.deleted)
-                            detail::add_claim(found, row);
-                        const auto& made = found.last_claim;
-                        if (made && made->claimed_at <= page.store_time &&
-                            page.store_time - made->claimed_at < max_age)
-                            handler({row.key}, *made);
-                    }
-                });
+void watch_claims(app& it, std::function<void(const core::group_id& group,
+                                              takeover::claim_observed claim)>
+                               handler)
+{
+    watch_table(
+        it, detail::claim_table, detail::claim_times,
+        [handler = std::move(handler)](const platform::row_page& page, bool)
+        {
+            for (const auto& row : page.rows)
+            {
+                takeover::rows_read found;
+                if (!row.deleted)
+                    detail::add_claim(found, row);
+                if (!found.last_claim)
+                    continue;
+                const auto& made = *found.last_claim;
+                // A later time is of a clock that has started anew since.
+                const auto age = made.claimed_at <= page.store_time
+                                     ? page.store_time - made.claimed_at
+                                     : detail::unknown_age;
+                handler({row.key}, {made, row.version, age});
+            }
+        });
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/takeover_rows.hpp
+++ b/apps/proxy/src/pooled/takeover_rows.hpp
@@ -29,11 +29,15 @@
                     const core::group_id& group,
                     const takeover::write_vote& what, takeover_handler handler);
 
-/// Calls the handler for each claim that any host makes, until the process
-/// ends. Claims that were made more than `max_age` before are left out.
-void watch_claims(
-    app& it, std::chrono::milliseconds max_age,
-    std::function<void(const core::group_id& group, const takeover::claim& row)>
-        handler);
+/// Clears the mark of a claim that replicas are paused.
+void write_cleared_row(app& it, const std::shared_ptr<service_link>& on,
+                       const core::group_id& group,
+                       const takeover::clear_pauses& what);
+
+/// Calls the handler for the claim of each group, and for each that any host
+/// makes, until the process ends.
+void watch_claims(app& it, std::function<void(const core::group_id& group,
+                                              takeover::claim_observed claim)>
+                               handler);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -75,6 +75,12 @@
     return m->second.record;
 }
 
+bool is_known(app& it, const group_id& group)
+{
+    std::lock_guard lock(it.decisions.mutex);
+    return it.decisions.state.groups.count(group) > 0;
+}
+
 struct performer
 {
     app& in;
@@ -99,6 +105,11 @@
         write_claim_row(in, link_of(in, group, false), group, a, feed_back());
     }
 
+    void operator()(const takeover::clear_pauses& a) const
+    {
+        write_cleared_row(in, link_of(in, group, false), group, a);
+    }
+
     void operator()(const takeover::write_vote& a) const
     {
         write_vote_row(in, link_of(in, group, false), group, a, feed_back());
@@ -211,12 +222,13 @@
 {
     if (it.takeovers.claims_followed.exchange(true))
         return;
-    watch_claims(it, settings_of(it).claim_ttl,
-                 [&it](const group_id& group, const takeover::claim& row)
-                 {
-                     if (find_registration(it, group, row.replaced))
-                         advance(it, group, takeover::claim_observed{row});
-                 });
+    watch_claims(
+        it,
+        [&it](const group_id& group, const takeover::claim_observed& claim)
+        {
+            if (is_known(it, group))
+                advance(it, group, claim);
+        });
 }
 
 void look_at_groups(app& it)
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -57,6 +57,9 @@
     std::chrono::milliseconds revocation_delay{300};
     /// Interval of the requests to step down that were not confirmed.
     std::chrono::milliseconds step_down_interval{200};
+    /// Hosts end the pauses of a claim whose holder has failed at different
+    /// times within this interval.
+    std::chrono::milliseconds resume_spread{2000};
     /// Number of attempts at the same promotion that may remain unanswered.
     unsigned max_promotion_attempts = 4;
     /// Number of consecutive status queries that the old primary of a group
@@ -125,10 +128,13 @@
     std::uint64_t version = 0;
 };
 
-/// The claim row of the group changed.
+/// The claim row of the group was read or changed.
 struct claim_observed
 {
     claim row;
+    std::uint64_t version = 0;
+    /// Time since the claim was made.
+    std::chrono::milliseconds age{0};
 };
 
 struct store_failed
@@ -174,6 +180,14 @@
     std::uint64_t expected_version = 0;
 };
 
+/// Writes the claim row without its mark that replicas are paused. The result
+/// is of no use: the row is observed again if it was not written.
+struct clear_pauses
+{
+    claim row;
+    std::uint64_t expected_version = 0;
+};
+
 /// Writes the vote of this host unconditionally.
 struct write_vote
 {
@@ -220,7 +234,7 @@
 };
 
 using action =
-    std::variant<read_rows, write_claim, write_vote, ask_member,
+    std::variant<read_rows, write_claim, clear_pauses, write_vote, ask_member,
                  order_promotion, revoke_primary, primary_known, failover_step>;
 using actions = std::vector<action>;
 
@@ -245,6 +259,17 @@
     pausing
 };
 
+/// A claim for which replicas may still be paused.
+struct pausing_claim
+{
+    claim row;
+    std::uint64_t version = 0;
+    /// When it was made, on the clock of this host.
+    core::time_point made_at;
+    /// Whether this host ends the pauses of its holder.
+    bool adopted = false;
+};
+
 struct takeover_state
 {
     phase current_phase = phase::idle;
@@ -278,8 +303,11 @@
     std::map<core::server_id, member_report> reports;
     core::server_id target;
     unsigned promotion_attempts = 0;
-    /// Replicas that this host has paused and not resumed.
+    /// Replicas that this host has paused, or resumes for another host, and
+    /// that have not confirmed that they receive again.
     std::set<core::server_id> paused;
+    /// The last claim, if replicas may still be paused for it.
+    std::optional<pausing_claim> unfinished;
     /// Terms of the pauses that the current queries ask for.
     std::map<core::server_id, core::term_number> pause_terms;
     /// When the last order was sent that has not been answered.
--- a/libs/takeover/include/godwitbarrow/takeover/row.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/row.hpp
@@ -21,6 +21,8 @@
     /// The primary that is being replaced.
     core::server_id replaced;
     std::chrono::milliseconds claimed_at{0};
+    /// Whether replicas may still be paused for this claim or an earlier one.
+    bool replicas_paused = false;
 };
 
 /// Statement of a host that it cannot reach the primary. There is one row per
--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "promoting.hpp"
+#include "resuming.hpp"
 
 namespace godwitbarrow::takeover::detail
 {
@@ -102,6 +103,8 @@
     next.holder = ctx.settings.self;
     next.replaced = suspected_primary(state);
     next.claimed_at = rows.store_time;
+    next.replicas_paused =
+        next.replicas_paused || state.view.synchronous_replicas > 0;
     state.token = ++next.token;
     if (state.replaced != next.replaced)
         state.unanswered_primary_queries = 0;
@@ -132,7 +135,9 @@
 
 void handle_observed_claim(context& ctx, const claim_observed& input)
 {
-    if (!revokes_primary(ctx) || input.row.replaced.value.empty())
+    note_pauses(ctx, input);
+    if (!revokes_primary(ctx) || input.row.replaced.value.empty() ||
+        input.age >= ctx.settings.claim_ttl)
         return;
     ctx.out.push_back(revoke_primary{input.row.replaced, input.row.token});
     // Hosts that do not reach the store may still use the primary. The holder
--- a/libs/takeover/src/context.hpp
+++ b/libs/takeover/src/context.hpp
@@ -21,6 +21,10 @@
 void report_step(context& ctx, std::string name, core::server_id server,
                  std::string detail = {});
 
+bool is_leaving(const takeover_state& state, const core::server_id& id);
+
+bool is_registered(const takeover_state& state, const core::server_id& id);
+
 /// The primary to replace; empty if the group has none.
 core::server_id suspected_primary(const takeover_state& state);
 
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -5,6 +5,7 @@
 #include "claiming.hpp"
 #include "context.hpp"
 #include "promoting.hpp"
+#include "resuming.hpp"
 
 namespace godwitbarrow::takeover
 {
@@ -35,6 +36,20 @@
     return state.view.primary.value_or(core::server_id{});
 }
 
+bool is_leaving(const takeover_state& state, const core::server_id& id)
+{
+    const auto& all = state.view.leaving_members;
+    return std::find(all.begin(), all.end(), id) != all.end();
+}
+
+bool is_registered(const takeover_state& state, const core::server_id& id)
+{
+    const auto& candidates = state.view.candidates;
+    return state.view.primary == id || is_leaving(state, id) ||
+           std::find(candidates.begin(), candidates.end(), id) !=
+               candidates.end();
+}
+
 namespace
 {
 
@@ -65,7 +80,8 @@
 {
     if (takeover_wanted(ctx.state))
         return start_takeover(ctx);
-    if (!ctx.state.paused.empty() && ctx.state.view.primary)
+    const bool resumes = !ctx.state.paused.empty() || may_end_pauses(ctx);
+    if (resumes && ctx.state.view.primary)
         return query_primary(ctx);
     enter_phase(ctx, phase::idle);
 }
@@ -88,7 +104,7 @@
         return give_up_confirmation(ctx);
     ctx.state.primary_stepped_down = false;
     ctx.out.push_back(primary_known{input.server, false});
-    resume_replicas(ctx, input.server);
+    end_pauses(ctx, input.server);
     if (!ctx.state.paused.empty())
         return pause_for(ctx, ctx.settings.promotion_settle_time);
     enter_phase(ctx, phase::idle);
@@ -105,6 +121,7 @@
             std::max(state.newest_log_term, input.report->received.term);
     }
     handle_step_down(ctx, input);
+    handle_resumed(ctx, input);
     if (state.current_phase == phase::confirming)
         return handle_confirmation(ctx, input);
     if (state.current_phase == phase::fencing)
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "resuming.hpp"
+
 namespace godwitbarrow::takeover::detail
 {
 namespace
@@ -37,12 +39,6 @@
            state.queried.size();
 }
 
-bool is_leaving(const takeover_state& state, const core::server_id& id)
-{
-    const auto& all = state.view.leaving_members;
-    return std::find(all.begin(), all.end(), id) != all.end();
-}
-
 /// Returns the member that is already primary, other than the one to replace.
 std::optional<core::server_id> find_other_primary(const takeover_state& state)
 {
@@ -196,14 +192,6 @@
            state.unanswered_primary_queries >= limit;
 }
 
-bool is_registered(const takeover_state& state, const core::server_id& id)
-{
-    const auto& candidates = state.view.candidates;
-    return state.view.primary == id || is_leaving(state, id) ||
-           std::find(candidates.begin(), candidates.end(), id) !=
-               candidates.end();
-}
-
 /// Promotes the target at once, or first has the old primary step down. The old
 /// primary leads until the promotion takes effect, and on some platforms
 /// longer, so a write that a host still sends to it would be acknowledged and
@@ -427,22 +415,6 @@
     pause_for(ctx, ctx.settings.retry_delay);
 }
 
-void resume_replicas(context& ctx, const core::server_id& primary)
-{
-    auto& state = ctx.state;
-    // A commit that a resumed replica receives from the old primary is lost if
-    // an order takes effect after that.
-    const bool late_order =
-        state.unanswered_order_at &&
-        ctx.now - *state.unanswered_order_at < ctx.settings.late_order_limit;
-    if (primary == state.replaced && late_order)
-        return;
-    state.paused.erase(primary);
-    for (const auto& id : state.paused)
-        ctx.out.push_back(ask_member{id, std::nullopt, std::nullopt, true});
-    state.paused.clear();
-}
-
 void handle_promotion_answer(context& ctx, const promotion_answered& input)
 {
     auto& state = ctx.state;
--- a/libs/takeover/src/promoting.hpp
+++ b/libs/takeover/src/promoting.hpp
@@ -40,9 +40,6 @@
 /// commits.
 void promote_if_revoked(context& ctx);
 
-/// Lets the replicas that this host has paused receive from the primary again.
-void resume_replicas(context& ctx, const core::server_id& primary);
-
 void handle_promotion_answer(context& ctx, const promotion_answered& input);
 
 }  // namespace godwitbarrow::takeover::detail
--- a/libs/takeover/src/row.cpp
+++ b/libs/takeover/src/row.cpp
@@ -53,7 +53,8 @@
         json::object{{"token", row.token},
                      {"holder", row.holder.value},
                      {"replaced", row.replaced.value},
-                     {"claimed_ms", row.claimed_at.count()}});
+                     {"claimed_ms", row.claimed_at.count()},
+                     {"replicas_paused", row.replicas_paused}});
 }
 
 std::string encode(const vote& row)
@@ -75,6 +76,9 @@
             row.holder = {detail::read_text(object, "holder")};
             row.replaced = {detail::read_text(object, "replaced")};
             row.claimed_at = detail::read_time(object, "claimed_ms");
+            // Rows of earlier versions lack the field.
+            if (const auto* paused = object.if_contains("replicas_paused"))
+                row.replicas_paused = paused->as_bool();
             return row;
         });
 }
--- a/libs/takeover/test/fencing_test.cpp
+++ b/libs/takeover/test/fencing_test.cpp
@@ -240,6 +240,8 @@
     advance_clock(settings.retry_delay);
     BOOST_REQUIRE(first_action<ask_member>());
     answer("c", 9, core::member_role::primary);
+    answer("b", 9);
+    advance_clock(settings.promotion_settle_time);
     BOOST_TEST(!is_active(state));
     advance_clock(settings.retry_delay);
     BOOST_TEST(!first_action<ask_member>().has_value());
--- a/libs/takeover/test/host.hpp
+++ b/libs/takeover/test/host.hpp
@@ -49,6 +49,8 @@
     /// A member ignores a pause at a term that is not above the newest one.
     void pause_if_asked(const ask_member& query)
     {
+        if (query.resume_replication)
+            paused.erase(query.server.value);
         if (query.pause_replication_at.value_or(0) > newest_term)
             paused[query.server.value] = *query.pause_replication_at;
     }
--- a/libs/takeover/test/row_test.cpp
+++ b/libs/takeover/test/row_test.cpp
@@ -15,6 +15,7 @@
     row.holder = {"host-1"};
     row.replaced = {"a"};
     row.claimed_at = 12345ms;
+    row.replicas_paused = true;
     const auto decoded = decode_claim(encode(row));
     BOOST_REQUIRE(ok(decoded));
     const auto& read = std::get<claim>(decoded);
@@ -22,6 +23,7 @@
     BOOST_TEST(read.holder == row.holder);
     BOOST_TEST(read.replaced == row.replaced);
     BOOST_TEST((read.claimed_at == row.claimed_at));
+    BOOST_TEST(read.replicas_paused);
 }
 
 BOOST_AUTO_TEST_CASE(return_a_vote_as_it_was_written)
@@ -44,6 +46,7 @@
         R"("suspect":"b","votes":{"host-2":99}})");
     BOOST_REQUIRE(ok(decoded));
     BOOST_TEST(std::get<claim>(decoded).token == 4U);
+    BOOST_TEST(!std::get<claim>(decoded).replicas_paused);
 }
 
 BOOST_AUTO_TEST_CASE(with_invalid_text_are_errors)
