Send all of an answer before a stopping host ends

Cause: the process ends once no session is open; a session is closed when it is idle, while its connection still sends.

Change: connections that end once they have sent all keep the process from ending, until 0.05 s before the end of the grace.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/lock_order.hpp"
@@ -40,6 +41,8 @@
     std::unordered_map<pooler::session_number, stream::connection_ptr> callers;
     std::unordered_map<pooler::connection_number, stream::connection_ptr>
         members;
+    /// Connections of callers that end once their last answer is sent.
+    std::vector<std::weak_ptr<stream::connection>> closing;
 };
 
 /// Bounds the log lines about requests. Used by the thread that performs
--- a/apps/proxy/src/pooled/callers.cpp
+++ b/apps/proxy/src/pooled/callers.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/strand.hpp>
 #include <mutex>
 
@@ -35,6 +36,26 @@
     return out;
 }
 
+void drop_closed(link_table& links)
+{
+    auto& all = links.closing;
+    all.erase(std::remove_if(all.begin(), all.end(),
+                             [](const auto& c) { return c.expired(); }),
+              all.end());
+}
+
+/// Closes the connection once its last answer is sent. Until then it keeps the
+/// process from ending.
+void close_when_sent(app& it, const stream::connection_ptr& c)
+{
+    {
+        std::lock_guard lock(it.links.mutex);
+        drop_closed(it.links);
+        it.links.closing.push_back(c);
+    }
+    stream::close_after_sending(c);
+}
+
 void disconnect(app& it, pooler::session_number session)
 {
     if (const auto c = take_caller(it, session))
@@ -150,7 +171,7 @@
     if (!c)
         return;
     stream::send(c, platform::encode_refusal(what.reason));
-    stream::close_after_sending(c);
+    detail::close_when_sent(it, c);
 }
 
 void reply(app& it, const pooler::reply_to_caller& what)
@@ -162,7 +183,14 @@
 void close_session(app& it, pooler::session_number session)
 {
     if (const auto c = detail::take_caller(it, session))
-        stream::close_after_sending(c);
+        detail::close_when_sent(it, c);
+}
+
+bool has_unsent_answers(app& it)
+{
+    std::lock_guard lock(it.links.mutex);
+    detail::drop_closed(it.links);
+    return !it.links.closing.empty();
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/links.hpp
+++ b/apps/proxy/src/pooled/links.hpp
@@ -14,6 +14,9 @@
 void reply(app& it, const pooler::reply_to_caller& what);
 void close_session(app& it, pooler::session_number session);
 
+/// Whether a connection that is being closed still has bytes of an answer.
+bool has_unsent_answers(app& it);
+
 void open(app& it, const pooler::open_connection& what);
 void send(app& it, const pooler::send_to_member& what);
 void close_member(app& it, pooler::connection_number connection);
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds balancer_delay{2300};
 /// Left of the grace for the end of the process.
 constexpr std::chrono::milliseconds exit_margin{500};
+/// Left of the grace when the process ends although an answer is not all sent.
+constexpr std::chrono::milliseconds kill_margin{50};
 /// For the answers to statements that time out at the end of a shutdown.
 constexpr std::chrono::milliseconds answer_margin{200};
 /// Left of the grace for the last statements and the end of the process.
@@ -55,12 +57,17 @@
         std::lock_guard lock(it.decisions.mutex);
         open = pooler::open_sessions(it.decisions.state);
     }
+    const bool sending = has_unsent_answers(it);
     const auto waited = core::runtime_clock::now() - began;
     const bool finished = open == 0 && waited >= balancer_delay;
-    if (finished || waited >= it.settings.grace - exit_margin)
+    const bool late = waited >= it.settings.grace - exit_margin;
+    if (((finished || late) && !sending) ||
+        waited >= it.settings.grace - kill_margin)
     {
         telemetry::log_event(telemetry::log_level::info, "stopped",
-                             {{"open_sessions", open}, {"after", waited}});
+                             {{"open_sessions", open},
+                              {"unsent_answers", sending},
+                              {"after", waited}});
         return it.io.stop();
     }
     t->expires_after(shutdown_check);
--- a/test/pooled/deployment.hpp
+++ b/test/pooled/deployment.hpp
@@ -39,8 +39,14 @@
     asio::ip::tcp::socket socket{io};
     std::string buf;
 
-    caller(std::uint16_t port, const std::string& database)
+    /// With the size of its receive buffer, if one is given.
+    caller(std::uint16_t port, const std::string& database,
+           int receive_buffer = 0)
     {
+        socket.open(asio::ip::tcp::v4());
+        if (receive_buffer > 0)
+            socket.set_option(
+                asio::socket_base::receive_buffer_size(receive_buffer));
         socket.connect({asio::ip::address_v4::loopback(), port});
         write("STARTUP " + database + " test");
     }
@@ -62,6 +68,29 @@
         return out;
     }
 
+    /// Reads about 800,000 bytes a second. Returns how many came before the end
+    /// of the connection, a silence of two seconds or the limit.
+    std::size_t read_slowly(std::size_t limit)
+    {
+        constexpr auto pause = 20ms;
+        constexpr int most_pauses = 100;
+        std::string part(16384, '\0');
+        std::size_t out = 0;
+        int silent = 0;
+        boost::system::error_code ec;
+        socket.non_blocking(true);
+        while (out < limit && silent < most_pauses)
+        {
+            std::this_thread::sleep_for(pause);
+            const auto n = socket.read_some(asio::buffer(part), ec);
+            if (ec && ec != asio::error::would_block)
+                return out;
+            silent = n > 0 ? 0 : silent + 1;
+            out += n;
+        }
+        return out;
+    }
+
     /// The lines of the answer up to its end, joined.
     std::string query(const std::string& text)
     {
@@ -91,7 +120,8 @@
     std::thread proxy;
     std::uint16_t port = 0;
 
-    explicit deployment(std::size_t workers = 1)
+    explicit deployment(std::size_t workers = 1,
+                        std::chrono::milliseconds grace = 4s)
     {
         telemetry::start_logging(telemetry::log_level::error);
         data->primary = "a";
@@ -118,7 +148,7 @@
         settings.readiness = local(0);
         settings.store = local(store.port());
         settings.promotions = local(store.port());
-        settings.grace = 4000ms;
+        settings.grace = grace;
         host = std::make_unique<proxy::pooled::app>(settings);
         BOOST_REQUIRE(ok(proxy::pooled::start(*host)));
         port = host->acceptor.local_endpoint().port();
