Split the promotion of a takeover by step

Change: fencing.cpp revokes the old primary and asks for its log position, comparing.cpp pauses and compares the members, promoting.cpp has the old primary step down and orders the promotion; the tests of resumed replicas are in resuming_test.cpp. "promotion ordered" is still written only for a target that has all commits of the old primary.

--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "promoting.hpp"
+#include "fencing.hpp"
 #include "resuming.hpp"
 
 namespace godwitbarrow::takeover::detail
--- a/libs/takeover/src/context.hpp
+++ b/libs/takeover/src/context.hpp
@@ -21,6 +21,14 @@
 void report_step(context& ctx, std::string name, core::server_id server,
                  std::string detail = {});
 
+/// Returns a term above all that this host knows of. Members ignore a pause or
+/// a step-down at any other term.
+core::term_number next_term(const takeover_state& state);
+
+/// Whether replicas are paused for a comparison: those of a group whose commits
+/// they acknowledge.
+bool pauses_replication(const takeover_state& state);
+
 bool is_leaving(const takeover_state& state, const core::server_id& id);
 
 bool is_registered(const takeover_state& state, const core::server_id& id);
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 
 #include "claiming.hpp"
+#include "comparing.hpp"
 #include "context.hpp"
+#include "fencing.hpp"
 #include "promoting.hpp"
 #include "resuming.hpp"
 
@@ -36,6 +38,16 @@
     return state.view.primary.value_or(core::server_id{});
 }
 
+core::term_number next_term(const takeover_state& state)
+{
+    return std::max(state.newest_term, state.view.newest_term) + 1;
+}
+
+bool pauses_replication(const takeover_state& state)
+{
+    return state.view.synchronous_replicas > 0;
+}
+
 bool is_leaving(const takeover_state& state, const core::server_id& id)
 {
     const auto& all = state.view.leaving_members;
