Remember claims of groups that are not known yet

Cause: a host that starts reads the claims once, perhaps before the configuration; a claim whose replicas are still paused was then dropped, and the host would not have ended the pauses. Found by reading.

Change: claims of all groups are passed on; the revocation of a member of an unknown group has no effect, as before.

Result: takeover_test and pooled_test pass.

--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -75,12 +75,6 @@
     return m->second.record;
 }
 
-bool is_known(app& it, const group_id& group)
-{
-    std::lock_guard lock(it.decisions.mutex);
-    return it.decisions.state.groups.count(group) > 0;
-}
-
 struct performer
 {
     app& in;
@@ -222,13 +216,10 @@
 {
     if (it.takeovers.claims_followed.exchange(true))
         return;
+    // Also of groups that are not known yet: the configuration may come later.
     watch_claims(
-        it,
-        [&it](const group_id& group, const takeover::claim_observed& claim)
-        {
-            if (is_known(it, group))
-                advance(it, group, claim);
-        });
+        it, [&it](const group_id& group, const takeover::claim_observed& claim)
+        { advance(it, group, claim); });
 }
 
 void look_at_groups(app& it)
