Log the end of pauses, accept fractions of times

Change: "pauses adopted" and "pauses ended" are steps of a takeover. Durations may have a decimal fraction; fractions of a millisecond are dropped.

--- a/libs/settings/include/godwitbarrow/settings/units.hpp
+++ b/libs/settings/include/godwitbarrow/settings/units.hpp
@@ -13,7 +13,7 @@
 
 std::optional<std::uint64_t> parse_count(std::string_view text);
 std::optional<double> parse_number(std::string_view text);
-/// Units ms, s, min and h.
+/// Units ms, s, min and h. Fractions of a millisecond are dropped.
 std::optional<std::chrono::milliseconds> parse_duration(std::string_view text);
 /// Units us, ms and s.
 std::optional<std::chrono::microseconds> parse_short_duration(
--- a/libs/settings/src/units.cpp
+++ b/libs/settings/src/units.cpp
@@ -48,6 +48,32 @@
     return std::nullopt;
 }
 
+/// Parses a number with a decimal fraction, which is rounded down to the
+/// smallest unit.
+template <std::size_t N>
+std::optional<std::uint64_t> parse_fraction(std::string_view text,
+                                            const std::array<unit, N>& units)
+{
+    constexpr std::size_t most_decimals = 9;
+    const auto dot = text.find('.');
+    if (dot == std::string_view::npos)
+        return parse_with_unit(text, units);
+    const auto rest = text.substr(dot + 1);
+    const auto end =
+        std::min(rest.find_first_not_of("0123456789"), rest.size());
+    const auto suffix = std::string(rest.substr(end));
+    const auto whole =
+        parse_with_unit(std::string(text.substr(0, dot)) + suffix, units);
+    const auto decimals = rest.substr(0, std::min(end, most_decimals));
+    const auto part = parse_with_unit(std::string(decimals) + suffix, units);
+    if (!whole || !part)
+        return std::nullopt;
+    std::uint64_t scale = 1;
+    for (std::size_t n = 0; n < decimals.size(); ++n)
+        scale *= 10;
+    return *whole + *part / scale;
+}
+
 template <std::size_t N>
 std::string format_with_unit(std::uint64_t value,
                              const std::array<unit, N>& units)
@@ -96,7 +122,7 @@
 
 std::optional<std::chrono::milliseconds> parse_duration(std::string_view text)
 {
-    const auto n = detail::parse_with_unit(text, detail::duration_units);
+    const auto n = detail::parse_fraction(text, detail::duration_units);
     if (!n)
         return std::nullopt;
     return std::chrono::milliseconds(*n);
--- a/libs/takeover/src/resuming.cpp
+++ b/libs/takeover/src/resuming.cpp
@@ -95,10 +95,17 @@
 {
     auto& claim = ctx.state.unfinished;
     if (claim && !is_own(ctx, *claim) && has_failed_holder(ctx, *claim))
+    {
+        report_step(ctx, "pauses adopted", claim->row.replaced,
+                    "holder " + claim->row.holder.value + " token " +
+                        std::to_string(claim->row.token));
         adopt(ctx.state, *claim);
+    }
     resume_replicas(ctx, primary);
     if (!claim || !is_own(ctx, *claim) || !ctx.state.paused.empty())
         return;
+    report_step(ctx, "pauses ended", claim->row.replaced,
+                "token " + std::to_string(claim->row.token));
     claim->row.replicas_paused = false;
     ctx.out.push_back(clear_pauses{claim->row, claim->version});
     claim.reset();
--- a/libs/takeover/test/resuming_test.cpp
+++ b/libs/takeover/test/resuming_test.cpp
@@ -129,6 +129,10 @@
     observe_claim();
     now += holder_limit();
     confirm("a");
+    BOOST_REQUIRE(first_action<failover_step>());
+    BOOST_TEST(first_action<failover_step>()->name == "pauses adopted");
+    BOOST_TEST(first_action<failover_step>()->detail ==
+               "holder host-2 token 5");
     BOOST_TEST((resumed() == std::set<std::string>{"b", "c"}));
     answer("b", 9);
     answer("c", 9);
