Let the members of the soak free refused connections

Change: a refused connection leaves the list at once; a member that was removed accepts and runs nothing.

--- a/test/soak/src/member_server.cpp
+++ b/test/soak/src/member_server.cpp
@@ -205,7 +205,8 @@
 
 void run_next(const member_server_ptr& it, const member_link_ptr& l)
 {
-    while (!l->running && !l->lines.empty())
+    // A member that has crashed or was removed runs nothing more.
+    while (!l->running && !l->lines.empty() && it->links.count(l.get()) > 0)
     {
         const auto line = std::move(l->lines.front());
         l->lines.pop_front();
@@ -213,10 +214,13 @@
     }
 }
 
-void refuse(const member_link_ptr& l, const std::string& code)
+/// The connection closes once the refusal is sent, and counts no longer.
+void refuse(const member_server_ptr& it, const member_link_ptr& l,
+            const std::string& code)
 {
     stream::send(l->connection, "ERROR " + code + " refused\r\n");
     stream::close_after_sending(l->connection);
+    it->links.erase(l.get());
 }
 
 void start_link(const member_server_ptr& it, const member_link_ptr& l,
@@ -229,9 +233,9 @@
     std::string id;
     in >> word >> group >> host >> id;
     if (group != it->group.name.value || id != it->server.value)
-        return refuse(l, "MISROUTED");
+        return refuse(it, l, "MISROUTED");
     if (it->links.size() > it->limits.connections)
-        return refuse(l, "TOOMANY");
+        return refuse(it, l, "TOOMANY");
     l->session = model::open_session(it->group, it->server);
     stream::send(l->connection, encode(it, {{}, {}, {}, {}}).substr(8));
 }
@@ -277,7 +281,9 @@
     it->acceptor.async_accept(
         [it](boost::system::error_code ec, tcp::socket socket)
         {
-            if (ec)
+            // A connection may have been accepted just before the member was
+            // removed.
+            if (ec || !it->acceptor.is_open())
                 return;
             if (member_of(*it).running)
                 add_link(it, std::move(socket));
