Keep the registrations on one strand

Cause: the map of the registrations was used by the answers of the store and by a timer on different workers without a lock.

Change: the map belongs to a strand, on which lists are also published, so that an older one cannot follow a newer one.

--- a/apps/proxy/src/pooled/store_watch.cpp
+++ b/apps/proxy/src/pooled/store_watch.cpp
@@ -1,5 +1,7 @@
 #include "store_watch.hpp"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
 #include <map>
 
 #include "godwitbarrow/platform/records.hpp"
@@ -43,10 +45,21 @@
     std::optional<core::time_point> removed;
 };
 
-/// The registrations as rows. Guarded by the sequence of watch calls.
-using registry = std::map<std::string, registered>;
+/// The registrations as rows. Used on its strand only: pages of the store and
+/// timers arrive on any worker.
+struct registry
+{
+    explicit registry(boost::asio::io_context& io)
+        : strand(boost::asio::make_strand(io))
+    {
+    }
 
-void publish_members(app& it, registry& all)
+    boost::asio::strand<boost::asio::io_context::executor_type> strand;
+    std::map<std::string, registered> rows;
+};
+using registry_ptr = std::shared_ptr<registry>;
+
+void publish_members(app& it, std::map<std::string, registered>& all)
 {
     pooler::members_changed out;
     const auto now = core::runtime_clock::now();
@@ -72,7 +85,7 @@
     handle(it, out);
 }
 
-void take_registrations(app& it, const std::shared_ptr<registry>& all,
+void take_registrations(app& it, const registry_ptr& all,
                         const platform::row_page& page, bool whole)
 {
     const auto now = core::runtime_clock::now();
@@ -88,17 +101,23 @@
     {
         listed[row.key] = true;
         if (!row.deleted)
-            (*all)[row.key] = {row, std::nullopt};
-        else if (const auto n = all->find(row.key); n != all->end())
+            all->rows[row.key] = {row, std::nullopt};
+        else if (const auto n = all->rows.find(row.key); n != all->rows.end())
             remove(n->second);
     }
     if (whole)
-        for (auto& [key, n] : *all)
+        for (auto& [key, n] : all->rows)
             if (listed.count(key) == 0)
                 remove(n);
-    publish_members(it, *all);
-    if (removed)
-        after(it, removal_delay, [&it, all] { publish_members(it, *all); });
+    publish_members(it, all->rows);
+    if (!removed)
+        return;
+    after(it, removal_delay,
+          [&it, all]
+          {
+              boost::asio::post(all->strand,
+                                [&it, all] { publish_members(it, all->rows); });
+          });
 }
 
 }  // namespace
@@ -110,10 +129,15 @@
                 watch_times_for(it.settings.change_limit),
                 [&it](const platform::row_page& page, bool)
                 { detail::take_configuration(it, page); });
-    const auto members = std::make_shared<detail::registry>();
-    watch_table(it, platform::registration_table, watch_times{},
-                [&it, members](const platform::row_page& page, bool whole)
+    const auto members = std::make_shared<detail::registry>(it.io);
+    watch_table(
+        it, platform::registration_table, watch_times{},
+        [&it, members](const platform::row_page& page, bool whole)
+        {
+            boost::asio::post(
+                members->strand, [&it, members, page, whole]
                 { detail::take_registrations(it, members, page, whole); });
+        });
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/test/pooled/workers_test.cpp
+++ b/test/pooled/workers_test.cpp
@@ -68,6 +68,24 @@
     }
 }
 
+// Guards against a host that crashes while members are replaced: the list of
+// members was changed by the answers of the store and by timers on different
+// workers (review case 9). ThreadSanitizer reports it.
+BOOST_FIXTURE_TEST_CASE(follows_members_that_are_replaced, busy_deployment)
+{
+    // Removed members are dropped after a delay, so that timers and changes
+    // overlap.
+    const auto end = std::chrono::steady_clock::now() + 4s;
+    for (int n = 0; std::chrono::steady_clock::now() < end; ++n)
+    {
+        const auto id = "x" + std::to_string(n);
+        at_standins([&] { store.put("servers", id, odd_entry("2", "8080")); });
+        std::this_thread::sleep_for(2ms);
+        at_standins([&] { store.remove("servers", id); });
+    }
+    wait_until([this] { return member_count() == 3; });
+}
+
 // Guards against answers that reach another session, and data races.
 BOOST_FIXTURE_TEST_CASE(keeps_sessions_apart, busy_deployment)
 {
