Link the hosts of the mode pooler to each other

Hosts knew each other only through the store. A mesh of peer links now carries payloads by topic, in order for each pair of hosts, to the hosts that the store lists with an address for peers. Nothing is sent over it yet. The settings of a host gain its region, share of a core, limits and the bounds of quotas; a placeholder that the platform leaves unfilled counts as missing.

--- a/apps/proxy/src/messages_in.cpp
+++ b/apps/proxy/src/messages_in.cpp
@@ -148,6 +148,11 @@
              membership::probe_answered{at.from, *what.target, what.reachable});
 }
 
+/// Only hosts of the mode pooler send payloads.
+void receive(const source&, const peer::payload&)
+{
+}
+
 }  // namespace
 }  // namespace detail
 
--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -17,6 +17,7 @@
 #include "godwitbarrow/takeover/decide.hpp"
 #include "godwitbarrow/telemetry/metrics.hpp"
 #include "host_settings.hpp"
+#include "mesh_table.hpp"
 
 /// The pooler as a process: connections, timers and the store around the
 /// decisions of `pooler`.
@@ -86,6 +87,7 @@
     decision_table decisions;
     link_table links;
     takeover_table takeovers;
+    mesh_table mesh;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/host_census.cpp
+++ b/apps/proxy/src/pooled/host_census.cpp
@@ -4,6 +4,7 @@
 
 #include "godwitbarrow/platform/rows.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
+#include "mesh.hpp"
 #include "store_link.hpp"
 
 namespace godwitbarrow::proxy::pooled
@@ -37,6 +38,7 @@
 {
     const auto now = core::runtime_clock::now();
     std::size_t live = 0;
+    std::vector<hosts::peer_host> peers;
     std::map<std::string, host_census::sighting> seen;
     for (const auto& row : page.rows)
     {
@@ -45,10 +47,16 @@
                      ? known->second
                      : host_census::sighting{row.version, now};
         if (now - s.at < host_limit)
+        {
             ++live;
+            auto host = hosts::decode_host(row.key, row.value);
+            if (ok(host))
+                peers.push_back(std::get<hosts::peer_host>(std::move(host)));
+        }
         seen.emplace(row.key, s);
     }
     c.seen = std::move(seen);
+    set_hosts(it, std::move(peers));
     if (live == c.live)
         return;
     c.live = live;
@@ -75,7 +83,7 @@
     platform::row own;
     own.table = host_table;
     own.key = it.settings.name.value;
-    own.value = it.settings.data_centre.value;
+    own.value = hosts::encode_host(own_host(it));
     call_service(
         it, c->link, platform::write_row(own, std::nullopt), call_timeout,
         [&it, c](const http::exchange_result&) { count_hosts(it, c); });
--- a/apps/proxy/src/pooled/host_settings.cpp
+++ b/apps/proxy/src/pooled/host_settings.cpp
@@ -85,10 +85,36 @@
         return it == "true";
     }
 
+    /// Returns `absent` if the key is missing.
+    double number(const std::string& key, double absent)
+    {
+        if (!has(key))
+            return absent;
+        const auto it = settings::parse_number(text(key));
+        if (it && *it >= 0)
+            return *it;
+        note(invalid(key, "write a number that is not negative"));
+        return absent;
+    }
+
+    /// Returns `absent` if the key is missing.
+    std::uint64_t size(const std::string& key, std::uint64_t absent)
+    {
+        if (!has(key))
+            return absent;
+        const auto it = settings::parse_size(text(key));
+        if (it)
+            return *it;
+        note(invalid(key, "write a size with its unit, for example 64MiB"));
+        return absent;
+    }
+
+    /// A placeholder that the platform has not filled in counts as missing.
     bool has(const std::string& key) const
     {
         const auto it = from.find(key);
-        return it != from.end() && !it->second.empty();
+        return it != from.end() && !it->second.empty() &&
+               it->second.find("{{") == std::string::npos;
     }
 
     void note(core::error it)
@@ -112,17 +138,30 @@
     host_settings it;
     it.name = {from.text("host.name")};
     it.data_centre = {from.text("host.data_centre")};
+    it.region = {from.has("host.region") ? from.text("host.region")
+                                         : it.data_centre.value};
+    it.core_share = from.number("host.core_share", it.core_share);
     it.workers = from.count("host.workers");
     it.callers = from.endpoint("listen.callers");
     it.readiness = from.endpoint("listen.readiness");
     it.readiness_path = from.text("listen.readiness_path");
     if (from.has("listen.metrics"))
         it.metrics = from.endpoint("listen.metrics");
+    if (from.has("listen.peers"))
+        it.peers = from.endpoint("listen.peers");
     it.store = from.endpoint("store.address");
     it.promotions = from.endpoint("promotions.address");
     it.fencing = from.flag("promotions.fencing", it.fencing);
     it.grace = from.time("shutdown.grace");
     it.leaving_limit = from.time("members.leaving_limit");
+    it.memory = from.size("limits.memory", it.memory);
+    it.descriptors =
+        static_cast<std::uint64_t>(from.number("limits.descriptors", 0));
+    if (from.has("workspaces.quota_window"))
+        it.quota_window = from.time("workspaces.quota_window");
+    it.quota_excess = from.number("workspaces.quota_excess", it.quota_excess);
+    it.quota_slack =
+        static_cast<std::uint64_t>(from.number("workspaces.quota_slack", 0));
     if (from.first_error)
         return *from.first_error;
     return it;
--- a/apps/proxy/src/pooled/host_settings.hpp
+++ b/apps/proxy/src/pooled/host_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -17,12 +18,18 @@
 {
     core::host_id name;
     core::data_centre_id data_centre;
+    /// The data centre itself where none is given.
+    core::region_id region;
+    /// Share of a processor core that the host may use, above 0.
+    double core_share = 1;
     std::size_t workers = 1;
     core::endpoint callers;
     core::endpoint readiness;
     /// Path that the balancer asks for.
     std::string readiness_path = "/healthz";
     std::optional<core::endpoint> metrics;
+    /// Where other hosts connect; without it the host works alone.
+    std::optional<core::endpoint> peers;
     core::endpoint store;
     /// Where promotions are called for.
     core::endpoint promotions;
@@ -37,6 +44,17 @@
     /// A change of the configuration that a lost call to the store hid is in
     /// force this long after the call at the latest.
     std::chrono::milliseconds change_limit{4000};
+    /// Memory of the process in bytes; 0 if it is not limited.
+    std::uint64_t memory = 0;
+    /// Descriptors of the process; 0 if only the system limits them.
+    std::uint64_t descriptors = 0;
+    /// Any span of this length counts for the quota of a workspace; zero if the
+    /// deployment has no quotas.
+    std::chrono::milliseconds quota_window{0};
+    /// Share above a quota that the deployment tolerates.
+    double quota_excess = 0;
+    /// Operations above a quota that the deployment tolerates.
+    std::uint64_t quota_slack = 0;
 };
 
 /// Reads the file. Errors: invalid_settings with the line or the key and the
--- /dev/null
+++ b/apps/proxy/src/pooled/mesh.cpp
@@ -0,0 +1,288 @@
+#include "mesh.hpp"
+
+#include <mutex>
+#include <random>
+
+#include "godwitbarrow/telemetry/log.hpp"
+#include "store_link.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+namespace detail
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds connect_timeout{800};
+constexpr std::chrono::milliseconds retry_pause{300};
+
+void open_wanted(app& it);
+
+void report_link(app& it, const core::host_id& peer, bool open)
+{
+    telemetry::log_event(telemetry::log_level::info,
+                         open ? "host connected" : "host disconnected",
+                         {{"peer", peer}});
+    for (const auto& handler : it.mesh.link_handlers)
+        handler(peer, open);
+}
+
+/// Forgets the links of the host and returns them.
+std::vector<peer::link_ptr> forget_links(app& it, const core::host_id& peer)
+{
+    std::vector<peer::link_ptr> out;
+    for (auto n = it.mesh.names.begin(); n != it.mesh.names.end();)
+    {
+        if (n->second != peer)
+        {
+            ++n;
+            continue;
+        }
+        out.push_back(n->first);
+        n = it.mesh.names.erase(n);
+    }
+    return out;
+}
+
+/// Records the sender of a hello. Returns whether it had no open link before,
+/// and in `replaced` the link of an earlier start of it.
+bool register_link(app& it, const peer::link_ptr& link, const peer::hello& from,
+                   peer::link_ptr& replaced)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    auto& p = it.mesh.peers[from.host];
+    p.connecting = false;
+    const bool known = p.link && p.incarnation == from.incarnation;
+    if (!known)
+        forget_links(it, from.host);
+    it.mesh.names[link] = from.host;
+    if (known)
+        return false;
+    replaced = std::exchange(p.link, link);
+    p.incarnation = from.incarnation;
+    p.retry_at.reset();
+    return true;
+}
+
+std::optional<core::host_id> name_of(app& it, const peer::link_ptr& link)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    const auto n = it.mesh.names.find(link);
+    if (n == it.mesh.names.end())
+        return std::nullopt;
+    return n->second;
+}
+
+void take_hello(app& it, const peer::link_ptr& link, const peer::hello& from)
+{
+    peer::link_ptr replaced;
+    if (!register_link(it, link, from, replaced))
+        return;
+    if (replaced)
+    {
+        peer::close(replaced);
+        report_link(it, from.host, false);
+    }
+    report_link(it, from.host, true);
+}
+
+void take_message(app& it, const peer::link_ptr& link,
+                  const peer::message& what)
+{
+    if (const auto* from = std::get_if<peer::hello>(&what))
+        return take_hello(it, link, *from);
+    const auto* body = std::get_if<peer::payload>(&what);
+    const auto from = name_of(it, link);
+    if (!body || !from)
+        return;
+    const auto handler = it.mesh.message_handlers.find(body->about);
+    if (handler != it.mesh.message_handlers.end())
+        handler->second(*from, body->bytes);
+}
+
+/// Two hosts that connect to each other at the same time have two links. Both
+/// are closed when one breaks, so that no message is lost unnoticed.
+void lose_link(app& it, const peer::link_ptr& link)
+{
+    std::vector<peer::link_ptr> others;
+    core::host_id peer;
+    {
+        std::lock_guard lock(it.mesh.mutex);
+        const auto n = it.mesh.names.find(link);
+        if (n == it.mesh.names.end())
+            return;
+        peer = n->second;
+        auto& p = it.mesh.peers[peer];
+        others = forget_links(it, peer);
+        p.link.reset();
+        p.retry_at = core::runtime_clock::now() + retry_pause;
+    }
+    for (const auto& n : others)
+        if (n != link)
+            peer::close(n);
+    report_link(it, peer, false);
+    after(it, retry_pause, [&it] { open_wanted(it); });
+}
+
+peer::message_handler message_handler_of(app& it)
+{
+    return [&it](const peer::link_ptr& link, const peer::message& what)
+    {
+        take_message(it, link, what);
+    };
+}
+
+peer::closed_handler closed_handler_of(app& it)
+{
+    return [&it](const peer::link_ptr& link, const core::error&)
+    {
+        lose_link(it, link);
+    };
+}
+
+void greet(app& it, const peer::link_ptr& link)
+{
+    peer::send(link, peer::hello{it.settings.name, it.mesh.incarnation});
+}
+
+void finish_connect(app& it, const core::host_id& to,
+                    const core::result<peer::link_ptr>& opened)
+{
+    if (const auto* link = std::get_if<peer::link_ptr>(&opened))
+        return greet(it, *link);
+    {
+        std::lock_guard lock(it.mesh.mutex);
+        auto& p = it.mesh.peers[to];
+        p.connecting = false;
+        p.retry_at = core::runtime_clock::now() + retry_pause;
+    }
+    after(it, retry_pause, [&it] { open_wanted(it); });
+}
+
+/// The wanted hosts that have no link and whose pause is over; they count as
+/// being connected to from now on.
+std::vector<hosts::peer_host> take_due(app& it)
+{
+    std::vector<hosts::peer_host> out;
+    const auto now = core::runtime_clock::now();
+    std::lock_guard lock(it.mesh.mutex);
+    for (const auto& [about, wanted] : it.mesh.wanted)
+        for (const auto& host : wanted)
+        {
+            const auto known = it.mesh.hosts.find(host);
+            auto& p = it.mesh.peers[host];
+            if (known == it.mesh.hosts.end() || p.link || p.connecting ||
+                (p.retry_at && *p.retry_at > now))
+                continue;
+            p.connecting = true;
+            out.push_back(known->second);
+        }
+    return out;
+}
+
+void open_wanted(app& it)
+{
+    peer::link_limits limits;
+    limits.connect_timeout = connect_timeout;
+    for (const auto& host : take_due(it))
+        peer::connect(
+            it.io.get_executor(), host.address,
+            [&it, to = host.host](const core::result<peer::link_ptr>& opened)
+            { finish_connect(it, to, opened); },
+            message_handler_of(it), closed_handler_of(it), limits);
+}
+
+std::uint64_t make_incarnation()
+{
+    std::random_device from;
+    return (std::uint64_t{from()} << 32U) | from();
+}
+
+}  // namespace
+}  // namespace detail
+
+core::result<std::monostate> start_mesh(app& it)
+{
+    it.mesh.incarnation = detail::make_incarnation();
+    if (!it.settings.peers)
+        return std::monostate{};
+    auto listening = peer::listen(
+        it.io.get_executor(), *it.settings.peers,
+        [&it](const peer::link_ptr& link, const peer::message& what)
+        {
+            if (std::holds_alternative<peer::hello>(what))
+                detail::greet(it, link);
+            detail::take_message(it, link, what);
+        },
+        detail::closed_handler_of(it));
+    if (const auto* e = std::get_if<core::error>(&listening))
+        return *e;
+    it.mesh.listener = std::get<peer::listener_ptr>(listening);
+    return std::monostate{};
+}
+
+void set_hosts(app& it, std::vector<hosts::peer_host> all)
+{
+    {
+        std::lock_guard lock(it.mesh.mutex);
+        it.mesh.hosts.clear();
+        for (auto& host : all)
+            if (host.host != it.settings.name)
+                it.mesh.hosts.emplace(host.host, std::move(host));
+    }
+    detail::open_wanted(it);
+}
+
+std::vector<hosts::peer_host> other_hosts(const app& it)
+{
+    std::vector<hosts::peer_host> out;
+    std::lock_guard lock(it.mesh.mutex);
+    out.reserve(it.mesh.hosts.size());
+    for (const auto& [name, host] : it.mesh.hosts)
+        out.push_back(host);
+    return out;
+}
+
+hosts::peer_host own_host(const app& it)
+{
+    hosts::peer_host out;
+    out.host = it.settings.name;
+    out.data_centre = it.settings.data_centre;
+    out.region = it.settings.region;
+    out.address = it.settings.peers.value_or(core::endpoint{});
+    out.core_share = it.settings.core_share;
+    return out;
+}
+
+void want_links(app& it, peer::topic about, std::set<core::host_id> to)
+{
+    {
+        std::lock_guard lock(it.mesh.mutex);
+        it.mesh.wanted[about] = std::move(to);
+    }
+    detail::open_wanted(it);
+}
+
+bool send_to_host(app& it, const core::host_id& to, peer::topic about,
+                  std::string bytes)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    const auto n = it.mesh.peers.find(to);
+    if (n == it.mesh.peers.end() || !n->second.link)
+        return false;
+    // Sent under the lock, so that messages keep the order of their senders.
+    peer::send(n->second.link, peer::payload{about, std::move(bytes)});
+    return true;
+}
+
+void on_host_message(app& it, peer::topic about, peer_message_handler handler)
+{
+    it.mesh.message_handlers[about] = std::move(handler);
+}
+
+void on_host_link(app& it, peer_link_handler handler)
+{
+    it.mesh.link_handlers.push_back(std::move(handler));
+}
+
+}  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -12,6 +12,7 @@
 #include "godwitbarrow/telemetry/log.hpp"
 #include "host_census.hpp"
 #include "links.hpp"
+#include "mesh.hpp"
 #include "store_watch.hpp"
 #include "takeovers.hpp"
 
@@ -150,6 +151,9 @@
     auto http = detail::start_http(it);
     if (!ok(http))
         return http;
+    auto mesh = start_mesh(it);
+    if (!ok(mesh))
+        return mesh;
     watch_store(it);
     count_hosts(it);
     watch_primaries(it);
--- a/libs/peer/include/godwitbarrow/peer/messages.hpp
+++ b/libs/peer/include/godwitbarrow/peer/messages.hpp
@@ -121,10 +121,33 @@
     bool reachable = true;
 };
 
-using message = std::variant<hello, execute, answer, membership::summary,
-                             membership::news_request, membership::news,
-                             settings_request, settings_delta, observe,
-                             observation, suspicion, probe, probe_answer>;
+/// Part of the proxy to which a payload belongs.
+enum class topic : std::uint8_t
+{
+    /// Liveness of hosts.
+    hosts = 1,
+    /// Rows of the store that one host reads for others.
+    rows = 2,
+    /// Versions and contents of the operator's configuration.
+    configuration = 3,
+    /// Caller sessions that another host serves.
+    sessions = 4,
+    /// Quota of tenants.
+    quotas = 5
+};
+
+/// Bytes that the library of the topic encodes and decodes.
+struct payload
+{
+    topic about = topic::hosts;
+    std::string bytes;
+};
+
+using message =
+    std::variant<hello, execute, answer, membership::summary,
+                 membership::news_request, membership::news, settings_request,
+                 settings_delta, observe, observation, suspicion, probe,
+                 probe_answer, payload>;
 
 /// `now` turns the deadline of a request into remaining time.
 std::vector<std::uint8_t> encode(
--- a/libs/peer/src/decode.cpp
+++ b/libs/peer/src/decode.cpp
@@ -188,6 +188,13 @@
             it.reachable()};
 }
 
+payload get(reader&, const wire::payload& it)
+{
+    const auto* from = it.bytes();
+    return {static_cast<topic>(it.topic()),
+            std::string(from->begin(), from->end())};
+}
+
 template <class Table>
 message get_as(reader& in, const wire::envelope& it)
 {
@@ -224,6 +231,8 @@
             return get_as<wire::probe>(in, it);
         case wire::body::body_probe_answer:
             return get_as<wire::probe_answer>(in, it);
+        case wire::body::body_payload:
+            return get_as<wire::payload>(in, it);
         case wire::body::body_NONE:
             break;
     }
--- a/libs/peer/src/encode.cpp
+++ b/libs/peer/src/encode.cpp
@@ -209,6 +209,15 @@
         wire::Createprobe_answer(to, it.nonce, target, it.reachable).Union()};
 }
 
+chosen_body put_body(builder& to, const payload& it, core::time_point)
+{
+    const auto* begin = reinterpret_cast<const std::uint8_t*>(it.bytes.data());
+    const auto bytes = to.CreateVector(begin, it.bytes.size());
+    return {wire::body::body_payload,
+            wire::Createpayload(to, static_cast<std::uint8_t>(it.about), bytes)
+                .Union()};
+}
+
 }  // namespace
 }  // namespace detail
 
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -90,6 +90,7 @@
         suspicion{{"g"}, {"s"}, {"h"}},
         probe{3, core::host_id{"t"}},
         probe_answer{3, core::host_id{"t"}, false},
+        payload{topic::quotas, std::string("a\0b", 3)},
     };
 }
 
--- a/test/pooled/host_settings_test.cpp
+++ b/test/pooled/host_settings_test.cpp
@@ -62,6 +62,41 @@
     BOOST_TEST((it.leaving_limit == 7s));
 }
 
+// Guards against a host that does not start because its platform lacks a
+// setting of the template and leaves the placeholder in place.
+BOOST_AUTO_TEST_CASE(take_an_unfilled_placeholder_for_a_missing_key)
+{
+    const auto parsed = parse_host_settings(
+        with("[store]",
+             "peers = {{ip}}:{{port_range.1}}\n[workspaces]\n"
+             "{{#a.b}}quota_window = {{a.b}}s{{/a.b}}\n"
+             "[limits]\nmemory = {{limits.memory_mb}}MiB\n[store]"));
+    BOOST_REQUIRE(ok(parsed));
+    const auto& it = std::get<host_settings>(parsed);
+    BOOST_TEST(!it.peers);
+    BOOST_TEST((it.quota_window == 0s));
+    BOOST_TEST(it.memory == 0U);
+    BOOST_TEST(it.region.value == "north");
+}
+
+BOOST_AUTO_TEST_CASE(hold_the_limits_of_the_host_and_of_workspaces)
+{
+    const auto parsed = parse_host_settings(
+        with("[store]",
+             "peers = 10.1.0.8:7441\n[limits]\nmemory = 160MiB\n"
+             "descriptors = 4400\n[workspaces]\nquota_window = 5s\n"
+             "quota_excess = 0.1\nquota_slack = 20\n[store]"));
+    BOOST_REQUIRE(ok(parsed));
+    const auto& it = std::get<host_settings>(parsed);
+    BOOST_REQUIRE(it.peers);
+    BOOST_TEST(it.peers->port == 7441U);
+    BOOST_TEST(it.memory == 160U * 1024 * 1024);
+    BOOST_TEST(it.descriptors == 4400U);
+    BOOST_TEST((it.quota_window == 5s));
+    BOOST_TEST(it.quota_excess == 0.1);
+    BOOST_TEST(it.quota_slack == 20U);
+}
+
 BOOST_AUTO_TEST_CASE(need_no_address_for_metrics)
 {
     const auto parsed =
