Send reads where they are expected to end soonest

A host ordered the members of a group by distance and its own statements, which says nothing about a member that others load, that is slow or that fails. The outcome of the statements that are sent anyway now gives an estimate for each member; reads go where network, work ahead and the cost of failures are expected to take least. A variation for each host keeps hosts that know the same from choosing the same member.

The fixture of the pooler's tests opened connections that seemed to take a thousand seconds; they now take none.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -14,6 +14,7 @@
 #include "godwitbarrow/pooler/configuration.hpp"
 #include "godwitbarrow/pooler/events.hpp"
 #include "godwitbarrow/pooler/statement.hpp"
+#include "godwitbarrow/routing/load.hpp"
 #include "godwitbarrow/session/freshness.hpp"
 
 /// State of the pooler: caller sessions, members and member connections.
@@ -36,9 +37,11 @@
     /// While a group has no known primary, members are probed for one for this
     /// long before the primary counts as unreachable.
     std::chrono::milliseconds search_limit{1200};
-    /// A member is far if connections to it took this much longer than to
-    /// another member of the group. Less than a round trip between regions.
-    std::chrono::milliseconds far_margin{10};
+    /// Assumed for the network to a member that cannot be measured, beyond the
+    /// time to the nearest one. About a round trip between regions.
+    std::chrono::milliseconds unknown_network_time{25};
+    /// How reads are spread over members by their expected time.
+    routing::load_settings load;
     /// Concurrent connection attempts to one member. Each occupies a slot of
     /// the member for longer than most statements do.
     std::size_t max_concurrent_opens = 1;
@@ -232,6 +235,8 @@
     std::size_t running = 0;
     std::optional<core::time_point> reopen_after;
     unsigned failed_opens = 0;
+    /// From the outcome of the statements that this host sent to it.
+    routing::load_estimate load;
     /// Least time that a connection to it took; absent if none was opened.
     std::optional<core::duration> fastest_open;
     /// Orders equally near members differently on each host.
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -34,6 +34,22 @@
     }
 }
 
+/// Counts the outcome of a statement that was sent to the member.
+void record_outcome(context& ctx, const backend_connection& c,
+                    const pending_statement& p, bool failed)
+{
+    auto* m = find_member(ctx, c);
+    if (!m)
+        return;
+    const auto& settings = ctx.pooler.settings.load;
+    if (failed)
+        return routing::record_failure(m->load, settings, ctx.now);
+    // The time of a statement that a stall of this host overlaps is not that of
+    // the member.
+    if (p.sent && *p.sent >= ctx.pooler.stalled_at)
+        routing::record_success(m->load, settings, ctx.now - *p.sent, ctx.now);
+}
+
 void handle_begin_answer(context& ctx, connection_number number,
                          const answer& a, bool read_write)
 {
@@ -104,6 +120,7 @@
             own = std::max(own, *a.at);
         }
     }
+    record_outcome(ctx, c, *s.current, false);
     if (auto* m = find_member(ctx, c))
         m->last_lag_back_off = {};
     release_slots(ctx, user, true);
@@ -179,6 +196,8 @@
     f = failure_of(a);
     if (!f)
         return handle_success(ctx, number, std::move(a));
+    if (!is_refusal(f->code))
+        record_outcome(ctx, c, *s.current, true);
     const auto why = *f;
     if (s.tx.phase != transaction_phase::none)
         return handle_transaction_failure(ctx, number, a, why);
@@ -246,7 +265,10 @@
     auto* m = find_member(ctx, c);
     // A connection reset does not predict the failure of the next connection.
     if (m && timed_out)
+    {
         m->failed_at = ctx.now;
+        routing::record_failure(m->load, ctx.pooler.settings.load, ctx.now);
+    }
     if (user != 0 && c.phase == connection_phase::busy)
     {
         auto& s = ctx.pooler.sessions.at(user);
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -78,46 +78,74 @@
     return out;
 }
 
-enum class distance
+/// Time for the network beyond that to the nearest member of the group; at
+/// equal distance the local data centre is preferred. A remote member that was
+/// never connected to comes first once, to find out its distance, unless a
+/// replica of the local data centre can serve.
+core::duration network_time(const context& ctx, const member& m,
+                            std::optional<core::duration> fastest,
+                            bool has_local)
 {
-    /// Tried once, to find out.
-    unknown,
-    near,
-    /// Statements take longer than on another member of the group.
-    far
-};
+    const auto& settings = ctx.pooler.settings;
+    const bool local = m.record.data_centre == settings.data_centre;
+    if (m.fastest_open && fastest)
+    {
+        const auto beyond =
+            std::max(*m.fastest_open - *fastest, core::duration{});
+        return local
+                   ? beyond
+                   : std::max<core::duration>(beyond, settings.load.resolution);
+    }
+    const bool unknown = m.failed_opens == 0 && (local || !has_local);
+    return unknown ? core::duration{} : settings.unknown_network_time;
+}
 
-distance distance_of(const member& m, std::optional<core::duration> fastest,
-                     const pooler_settings& settings)
+bool has_local_replica(const context& ctx, const group& g)
 {
-    if (!m.fastest_open || !fastest)
-        return m.failed_opens == 0 ? distance::unknown : distance::far;
-    return *m.fastest_open - *fastest > settings.far_margin ? distance::far
-                                                            : distance::near;
+    return std::any_of(g.members.begin(), g.members.end(),
+                       [&](const auto& n)
+                       {
+                           return g.primary != n.first &&
+                                  n.second.record.data_centre ==
+                                      ctx.pooler.settings.data_centre;
+                       });
 }
 
-/// Returns the members that may run a read of bounded age, best first: members
-/// of the local data centre, other near members, then those with the fewest
-/// running statements. The primary comes last, because only it can run writes.
-/// Hosts order equal members differently, so that the reads of all hosts spread
-/// over them while each host uses few connections.
-std::vector<core::server_id> read_candidates(const context& ctx, const group& g,
-                                             const pending_statement& p)
+/// The members that may run a read of bounded age. The primary is kept free,
+/// because only it can run writes.
+std::vector<routing::load_candidate> load_candidates(const context& ctx,
+                                                     const group& g,
+                                                     const pending_statement& p)
 {
-    using rating = std::tuple<bool, bool, distance, std::size_t, std::uint64_t,
-                              core::server_id>;
-    std::vector<rating> rated;
+    std::vector<routing::load_candidate> out;
     const auto fastest = fastest_open(g);
+    const bool has_local = has_local_replica(ctx, g);
     for (const auto& [id, m] : g.members)
     {
         if (is_skipped(m, p, ctx.pooler.settings, ctx.now))
             continue;
-        const bool remote =
-            m.record.data_centre != ctx.pooler.settings.data_centre;
-        const auto away = distance_of(m, fastest, ctx.pooler.settings);
-        rated.emplace_back(g.primary == id, remote, away, m.running,
-                           m.preference, id);
+        out.push_back({id, m.load, m.running, m.record.slots,
+                       network_time(ctx, m, fastest, has_local),
+                       g.primary == id});
     }
+    return out;
+}
+
+/// Returns the members that may run a read of bounded age, those on which it
+/// ends soonest first. Hosts order equal members differently, so that the reads
+/// of all hosts spread over them while each host uses few connections.
+std::vector<core::server_id> read_candidates(const context& ctx, const group& g,
+                                             const pending_statement& p)
+{
+    using rating = std::tuple<core::duration, std::uint64_t, core::server_id>;
+    const auto members = load_candidates(ctx, g, p);
+    const auto& settings = ctx.pooler.settings;
+    const auto times =
+        routing::expected_times(members, settings.load, settings.host, ctx.now);
+    std::vector<rating> rated;
+    for (std::size_t n = 0; n < members.size(); ++n)
+        rated.emplace_back(times[n], g.members.at(members[n].server).preference,
+                           members[n].server);
     std::sort(rated.begin(), rated.end());
     std::vector<core::server_id> out;
     out.reserve(rated.size());
--- a/libs/pooler/test/fixture.hpp
+++ b/libs/pooler/test/fixture.hpp
@@ -204,6 +204,7 @@
             backend_connection c;
             c.group = group;
             c.server = {id};
+            c.phase_since = now;
             pooler_state.connections.emplace(number, c);
             m.connections.insert(number);
             post(member_connected{number, std::nullopt});
