Serve sessions at the owner hosts of their group

Where a member accepts fewer connections than all hosts need, the sessions of a group are served by a few owners in each region; other hosts relay the lines of their callers over the links between hosts. Only owners vote about a primary.

--- a/apps/proxy/src/pooled/app.cpp
+++ b/apps/proxy/src/pooled/app.cpp
@@ -92,6 +92,7 @@
              pooler::decide(t.state, what, core::runtime_clock::now()))
             t.outbox.push_back(std::move(a));
         it.ready = pooler::is_ready(t.state);
+        it.configuration_version = t.state.active_configuration.version;
         needs_ticks = pooler::needs_ticks(t.state);
         if (t.performing)
             return;
--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -18,6 +18,7 @@
 #include "godwitbarrow/telemetry/metrics.hpp"
 #include "host_settings.hpp"
 #include "mesh_table.hpp"
+#include "relay_table.hpp"
 
 /// The pooler as a process: connections, timers and the store around the
 /// decisions of `pooler`.
@@ -77,6 +78,7 @@
         : settings(std::move(it)),
           io(static_cast<int>(settings.workers)),
           acceptor(io),
+          relays(io),
           tick(io)
     {
     }
@@ -88,11 +90,14 @@
     link_table links;
     takeover_table takeovers;
     mesh_table mesh;
+    relay_table relays;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
     std::atomic<bool> ticking{false};
     std::atomic<bool> ready{false};
+    /// Of the configuration that was applied last.
+    std::atomic<std::uint64_t> configuration_version{0};
     telemetry::metrics_ptr metrics;
     gateway::admin_ptr readiness;
     gateway::admin_ptr metrics_server;
--- a/apps/proxy/src/pooled/callers.cpp
+++ b/apps/proxy/src/pooled/callers.cpp
@@ -5,6 +5,7 @@
 #include "godwitbarrow/platform/caller_wire.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "links.hpp"
+#include "relay.hpp"
 
 namespace godwitbarrow::proxy::pooled
 {
@@ -56,41 +57,18 @@
     stream::close_after_sending(c);
 }
 
-void disconnect(app& it, pooler::session_number session)
-{
-    if (const auto c = take_caller(it, session))
-        stream::close(c);
-    handle(it, pooler::caller_disconnected{session});
-}
-
-void take_line(app& it, pooler::session_number session, bool& started,
-               std::string_view line)
-{
-    auto parsed = platform::parse_caller_line(line);
-    auto* message = std::get_if<platform::caller_message>(&parsed);
-    if (!message || std::holds_alternative<platform::terminate>(*message))
-        return disconnect(it, session);
-    const auto* first = std::get_if<platform::startup>(message);
-    if ((first != nullptr) == started)
-        return disconnect(it, session);
-    started = true;
-    if (first)
-        return handle(it, pooler::caller_started{session, first->database});
-    handle(it, pooler::caller_query{
-                   session, std::get<pooler::query>(std::move(*message))});
-}
-
 void add_caller(app& it, tcp::socket socket)
 {
     const auto session = ++it.last_session;
     stream::handlers on;
     on.received = [&it, session, started = false](std::string_view line) mutable
     {
-        take_line(it, session, started, line);
+        if (!relay_line(it, session, line))
+            take_caller_line(it, session, started, line, false);
     };
     on.closed = [&it, session](const std::string&)
     {
-        disconnect(it, session);
+        disconnect_caller(it, session);
     };
     const auto c = stream::adopt(std::move(socket), std::move(on));
     {
@@ -159,31 +137,71 @@
     return std::monostate{};
 }
 
+void disconnect_caller(app& it, pooler::session_number session)
+{
+    if (const auto c = detail::take_caller(it, session))
+        stream::close(c);
+    else
+        close_relayed(it, session);
+    if (!end_relayed_caller(it, session))
+        handle(it, pooler::caller_disconnected{session});
+}
+
+void take_caller_line(app& it, pooler::session_number session, bool& started,
+                      std::string_view line, bool relayed)
+{
+    auto parsed = platform::parse_caller_line(line);
+    auto* message = std::get_if<platform::caller_message>(&parsed);
+    if (!message || std::holds_alternative<platform::terminate>(*message))
+        return disconnect_caller(it, session);
+    const auto* first = std::get_if<platform::startup>(message);
+    if ((first != nullptr) == started)
+        return disconnect_caller(it, session);
+    started = true;
+    if (!first)
+        return handle(
+            it, pooler::caller_query{
+                    session, std::get<pooler::query>(std::move(*message))});
+    if (!relayed && relay_session(it, session, first->database, line))
+        return;
+    handle(it, pooler::caller_started{session, first->database, relayed});
+}
+
+void send_to_caller(app& it, pooler::session_number session, std::string bytes)
+{
+    if (const auto c = detail::find_caller(it, session))
+        stream::send(c, std::move(bytes));
+}
+
 void accept(app& it, const pooler::accept_caller& what)
 {
-    if (const auto c = detail::find_caller(it, what.session))
-        stream::send(c, platform::encode_accepted());
+    auto bytes = platform::encode_accepted();
+    if (!answer_relayed(it, what.session, bytes, true))
+        send_to_caller(it, what.session, std::move(bytes));
 }
 
 void refuse(app& it, const pooler::refuse_caller& what)
 {
-    const auto c = detail::take_caller(it, what.session);
-    if (!c)
-        return;
-    stream::send(c, platform::encode_refusal(what.reason));
-    detail::close_when_sent(it, c);
+    auto bytes = platform::encode_refusal(what.reason);
+    if (!answer_relayed(it, what.session, bytes, true))
+        send_to_caller(it, what.session, std::move(bytes));
+    close_session(it, what.session);
 }
 
 void reply(app& it, const pooler::reply_to_caller& what)
 {
-    if (const auto c = detail::find_caller(it, what.session))
-        stream::send(c, platform::encode_answer(what.reply));
+    auto bytes = platform::encode_answer(what.reply);
+    const bool idle = what.reply.state == pooler::session_state::idle;
+    if (!answer_relayed(it, what.session, bytes, idle))
+        send_to_caller(it, what.session, std::move(bytes));
 }
 
 void close_session(app& it, pooler::session_number session)
 {
     if (const auto c = detail::take_caller(it, session))
         detail::close_when_sent(it, c);
+    else
+        close_relayed(it, session);
 }
 
 bool has_unsent_answers(app& it)
--- /dev/null
+++ b/apps/proxy/src/pooled/relay.cpp
@@ -0,0 +1,295 @@
+#include "relay.hpp"
+
+#include <algorithm>
+#include <mutex>
+
+#include "godwitbarrow/telemetry/log.hpp"
+#include "mesh.hpp"
+#include "store_link.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+namespace detail
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds watch_interval{250};
+/// An owner that has sent nothing for this long while statements are
+/// outstanding is taken for lost.
+constexpr std::chrono::milliseconds silence_limit{1000};
+/// A longer gap between two looks means that this host itself was stalled.
+constexpr std::chrono::milliseconds stall_limit{500};
+constexpr std::chrono::milliseconds drain_interval{25};
+/// How long an item waits for the configuration of the entry host.
+constexpr std::chrono::milliseconds configuration_limit{300};
+constexpr std::chrono::milliseconds held_interval{10};
+
+std::vector<relay::item> take_unsent(app& it, const core::host_id& to)
+{
+    std::lock_guard lock(it.relays.mutex);
+    auto& p = it.relays.peers[to];
+    p.flush_posted = false;
+    return std::exchange(p.unsent, {});
+}
+
+void lose_peer(app& it, const core::host_id& peer)
+{
+    lose_owner(it, peer, "the link to the owner is lost");
+    lose_entry(it, peer);
+}
+
+void flush(app& it, const core::host_id& to)
+{
+    const auto version = it.configuration_version.load();
+    for (const auto& b : relay::make_batches(version, take_unsent(it, to)))
+        if (!send_to_host(it, to, peer::topic::sessions, relay::encode(b)))
+            return lose_peer(it, to);
+}
+
+bool is_for_owner(relay::item_kind it)
+{
+    return it == relay::item_kind::start || it == relay::item_kind::line ||
+           it == relay::item_kind::disconnected;
+}
+
+/// The items of the host that wait no longer. A later item never overtakes one
+/// that waits.
+std::vector<relay::item> take_due(app& it, const core::host_id& from)
+{
+    std::vector<relay::item> out;
+    const auto now = core::runtime_clock::now();
+    const auto own = it.configuration_version.load();
+    std::lock_guard lock(it.relays.mutex);
+    auto& held = it.relays.peers[from].held;
+    while (!held.empty() &&
+           (held.front().configuration <= own || held.front().until <= now))
+    {
+        out.push_back(std::move(held.front().what));
+        held.pop_front();
+    }
+    return out;
+}
+
+void release_held(app& it, const core::host_id& from)
+{
+    for (auto& due : take_due(it, from))
+        take_from_entry(it, from, std::move(due));
+    bool waits = false;
+    {
+        std::lock_guard lock(it.relays.mutex);
+        waits = !it.relays.peers[from].held.empty();
+    }
+    if (waits)
+        after(it, held_interval, [&it, from] { release_held(it, from); });
+}
+
+/// Whether the item has to wait; it is kept then.
+bool hold(app& it, const core::host_id& from, const relay::item& what,
+          std::uint64_t configuration, bool& first)
+{
+    std::lock_guard lock(it.relays.mutex);
+    auto& held = it.relays.peers[from].held;
+    if (held.empty() && configuration <= it.configuration_version)
+        return false;
+    first = held.empty();
+    held.push_back({what, configuration,
+                    core::runtime_clock::now() + configuration_limit});
+    return true;
+}
+
+void note_heard(app& it, const core::host_id& from)
+{
+    std::lock_guard lock(it.relays.mutex);
+    auto& p = it.relays.peers[from];
+    p.heard_at = core::runtime_clock::now();
+    p.silent = false;
+}
+
+void note_draining(app& it, const core::host_id& from)
+{
+    {
+        std::lock_guard lock(it.relays.mutex);
+        it.relays.peers[from].draining_since = core::runtime_clock::now();
+    }
+    telemetry::log_event(telemetry::log_level::info, "host is shutting down",
+                         {{"peer", from}});
+    drain_entry(it, from);
+}
+
+void take_item(app& it, const core::host_id& from, relay::item what,
+               std::uint64_t configuration)
+{
+    if (is_for_owner(what.kind))
+    {
+        bool first = false;
+        if (!hold(it, from, what, configuration, first))
+            return take_from_entry(it, from, std::move(what));
+        if (first)
+            release_held(it, from);
+        return;
+    }
+    switch (what.kind)
+    {
+        case relay::item_kind::answer:
+            return take_answer(it, from, std::move(what));
+        case relay::item_kind::close:
+            return take_close(it, from, what);
+        case relay::item_kind::heartbeat:
+            return send_item(
+                it, from, relay::make_item(relay::item_kind::heartbeat_answer));
+        case relay::item_kind::draining:
+            return note_draining(it, from);
+        default:
+            return;
+    }
+}
+
+void take_message(app& it, const core::host_id& from, std::string_view bytes)
+{
+    auto got = relay::decode(bytes);
+    if (const auto* e = std::get_if<core::error>(&got))
+        return telemetry::log_event(telemetry::log_level::warning, e->message,
+                                    {{"peer", from}});
+    note_heard(it, from);
+    auto& all = std::get<relay::batch>(got);
+    for (auto& what : all.items)
+        take_item(it, from, std::move(what), all.configuration);
+}
+
+void take_link(app& it, const core::host_id& peer, bool open)
+{
+    bool draining = false;
+    {
+        std::lock_guard lock(it.relays.mutex);
+        auto& p = it.relays.peers[peer];
+        p.linked = open;
+        p.heard_at.reset();
+        p.silent = false;
+        p.held.clear();
+        // The host has started again.
+        if (open)
+            p.draining_since.reset();
+        else
+            p.unsent.clear();
+        draining = it.relays.draining_since.has_value();
+    }
+    if (!open)
+        lose_peer(it, peer);
+    else if (draining)
+        send_item(it, peer, relay::make_item(relay::item_kind::draining));
+}
+
+bool has_outstanding(const relay_table& all, const relay_peer& p)
+{
+    return std::any_of(p.outbound.begin(), p.outbound.end(),
+                       [&](auto number)
+                       { return all.outbound.at(number).unanswered > 0; });
+}
+
+/// What is to be done about the owners that are silent.
+struct silent_owners
+{
+    std::vector<core::host_id> to_ask;
+    std::vector<core::host_id> lost;
+};
+
+silent_owners find_silent(app& it)
+{
+    silent_owners out;
+    const auto now = core::runtime_clock::now();
+    std::lock_guard lock(it.relays.mutex);
+    auto& all = it.relays;
+    const bool stalled = now - std::exchange(all.last_watch, now) > stall_limit;
+    for (auto& [host, p] : all.peers)
+    {
+        if (!p.linked || !(p.silent || has_outstanding(all, p)))
+        {
+            p.heard_at.reset();
+            continue;
+        }
+        if (!p.heard_at || stalled)
+            p.heard_at = now;
+        const auto silence = now - *p.heard_at;
+        if (silence >= silence_limit && !std::exchange(p.silent, true))
+            out.lost.push_back(host);
+        if (p.silent || silence >= watch_interval)
+            out.to_ask.push_back(host);
+    }
+    return out;
+}
+
+void watch_silence(app& it)
+{
+    const auto found = find_silent(it);
+    for (const auto& host : found.lost)
+        lose_owner(it, host, "the owner does not answer");
+    for (const auto& host : found.to_ask)
+        send_item(it, host, relay::make_item(relay::item_kind::heartbeat));
+    after(it, watch_interval, [&it] { watch_silence(it); });
+}
+
+void watch_draining(app& it)
+{
+    end_draining_callers(it);
+    after(it, drain_interval, [&it] { watch_draining(it); });
+}
+
+std::vector<core::host_id> linked_hosts(app& it)
+{
+    std::vector<core::host_id> out;
+    std::lock_guard lock(it.relays.mutex);
+    for (const auto& [host, p] : it.relays.peers)
+        if (p.linked)
+            out.push_back(host);
+    return out;
+}
+
+}  // namespace
+
+void send_item(app& it, const core::host_id& to, relay::item what)
+{
+    {
+        std::lock_guard lock(it.relays.mutex);
+        auto& p = it.relays.peers[to];
+        for (auto& part : relay::split(std::move(what)))
+            p.unsent.push_back(std::move(part));
+        if (std::exchange(p.flush_posted, true))
+            return;
+    }
+    boost::asio::post(it.relays.strand, [&it, to] { flush(it, to); });
+}
+
+}  // namespace detail
+
+void start_relaying(app& it)
+{
+    on_host_message(it, peer::topic::sessions,
+                    [&it](const core::host_id& from, std::string_view bytes)
+                    { detail::take_message(it, from, bytes); });
+    on_host_link(it, [&it](const core::host_id& peer, bool open)
+                 { detail::take_link(it, peer, open); });
+    if (!it.settings.peers)
+        return;
+    detail::watch_silence(it);
+    detail::watch_draining(it);
+}
+
+void stop_relaying(app& it)
+{
+    {
+        std::lock_guard lock(it.relays.mutex);
+        it.relays.draining_since = core::runtime_clock::now();
+    }
+    for (const auto& host : detail::linked_hosts(it))
+        detail::send_item(it, host,
+                          relay::make_item(relay::item_kind::draining));
+}
+
+std::size_t count_relayed_callers(app& it)
+{
+    std::lock_guard lock(it.relays.mutex);
+    return it.relays.outbound.size();
+}
+
+}  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -13,6 +13,8 @@
 #include "host_census.hpp"
 #include "links.hpp"
 #include "mesh.hpp"
+#include "owner_watch.hpp"
+#include "relay.hpp"
 #include "store_watch.hpp"
 #include "takeovers.hpp"
 
@@ -58,6 +60,7 @@
         std::lock_guard lock(it.decisions.mutex);
         open = pooler::open_sessions(it.decisions.state);
     }
+    open += count_relayed_callers(it);
     const bool sending = has_unsent_answers(it);
     const auto waited = core::runtime_clock::now() - began;
     const bool finished = open == 0 && waited >= balancer_delay;
@@ -151,11 +154,13 @@
     auto http = detail::start_http(it);
     if (!ok(http))
         return http;
+    start_relaying(it);
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
     watch_store(it);
     count_hosts(it);
+    watch_owners(it);
     watch_primaries(it);
     detail::keep_ticking(it, std::make_shared<core::timer>(it.io));
     return listen_for_callers(it);
@@ -165,6 +170,7 @@
 {
     telemetry::log_event(telemetry::log_level::info, "stopping",
                          {{"grace", it.settings.grace}});
+    stop_relaying(it);
     handle(it, pooler::shutdown_started{});
     detail::await_end(it, core::runtime_clock::now(),
                       std::make_shared<core::timer>(it.io));
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -6,6 +6,7 @@
 #include "godwitbarrow/platform/promotion.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "member_question.hpp"
+#include "owner_watch.hpp"
 #include "store_link.hpp"
 #include "takeover_rows.hpp"
 
@@ -199,6 +200,20 @@
     return out;
 }
 
+/// Only owners talk to the members of a group, so only they vote about its
+/// primary. What another host saw of it is outdated.
+void limit_to_owners(app& it, std::map<group_id, takeover::group_view>& views)
+{
+    for (auto& [group, view] : views)
+    {
+        if (serves_group(it, group, view.live_hosts))
+            continue;
+        view.unreachable = false;
+        view.unreachable_for = std::chrono::milliseconds(0);
+        view.leaving = false;
+    }
+}
+
 /// Whether hosts have to see a claim before the promotion: where a replaced
 /// primary leads on until it is told to step down, and where a commit that it
 /// acknowledges meanwhile must not be lost.
@@ -225,6 +240,7 @@
 void look_at_groups(app& it)
 {
     auto views = view_groups(it);
+    limit_to_owners(it, views);
     if (needs_claims(it, views))
         follow_claims(it);
     for (auto& [group, view] : views)
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -2,11 +2,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
+#include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/pooler/configuration.hpp"
 #include "godwitbarrow/pooler/statement.hpp"
 
@@ -22,6 +24,8 @@
 {
     session_number session = 0;
     std::string database;
+    /// Another host holds the connection of the caller.
+    bool relayed = false;
 };
 
 struct caller_query
@@ -89,6 +93,30 @@
     std::size_t live = 1;
 };
 
+/// How the connections of the members of one group are shared.
+struct group_share
+{
+    /// Hosts that serve the sessions of the group.
+    std::size_t owners = 1;
+    /// Whether this host is one of them. If not, it uses one connection to a
+    /// member at most, for callers that it cannot relay to an owner.
+    bool owned = true;
+};
+
+/// The shares of the groups that only some hosts serve.
+struct group_shares_changed
+{
+    std::map<core::group_id, group_share> shares;
+};
+
+/// The host that holds the callers' connections of these relayed sessions has
+/// been shutting down since then.
+struct relayed_sessions_draining
+{
+    std::vector<session_number> sessions;
+    core::time_point since;
+};
+
 /// Periodic event that expires queued statements and overdue members.
 struct timer_tick
 {
@@ -98,11 +126,12 @@
 {
 };
 
-using event = std::variant<caller_started, caller_query, caller_disconnected,
-                           member_connected, member_answered,
-                           member_connection_lost, configuration_changed,
-                           members_changed, primary_confirmed, primary_revoked,
-                           host_count_changed, timer_tick, shutdown_started>;
+using event =
+    std::variant<caller_started, caller_query, caller_disconnected,
+                 member_connected, member_answered, member_connection_lost,
+                 configuration_changed, members_changed, primary_confirmed,
+                 primary_revoked, host_count_changed, group_shares_changed,
+                 relayed_sessions_draining, timer_tick, shutdown_started>;
 
 struct accept_caller
 {
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -88,6 +88,10 @@
     std::chrono::milliseconds failed_back_off{400};
     /// During shutdown, callers that are idle for this long are disconnected.
     std::chrono::milliseconds shutdown_idle{50};
+    /// The host that holds the connection of a relayed session disconnects the
+    /// caller itself once it is idle, since it sees whether a statement is on
+    /// its way. Sessions that are idle for longer are ended here.
+    std::chrono::milliseconds relayed_shutdown_idle{1000};
     /// Maximum number of statements of one session that wait for an earlier
     /// one.
     std::size_t max_backlog = 16;
@@ -176,6 +180,10 @@
     std::map<core::group_id, core::log_position> written;
     core::time_point idle_since;
     bool disconnected = false;
+    /// Another host holds the connection of the caller.
+    bool relayed = false;
+    /// Since when that host has been shutting down.
+    std::optional<core::time_point> draining_since;
 };
 
 enum class connection_phase
@@ -267,6 +275,8 @@
 struct group
 {
     group_settings settings;
+    /// Absent if all hosts serve the group.
+    std::optional<group_share> share;
     std::map<core::server_id, member> members;
     /// The member last confirmed as the primary, or else the one that last
     /// registered as the primary.
@@ -299,6 +309,8 @@
     std::uint64_t last_shape = 0;
     /// Sessions that have a current statement.
     std::set<session_number> active_sessions;
+    /// Relayed sessions of hosts that are shutting down.
+    std::set<session_number> draining_sessions;
     core::time_point last_event{};
     /// Time at which a stall of this host was last detected.
     core::time_point stalled_at{};
--- a/libs/pooler/src/connections.cpp
+++ b/libs/pooler/src/connections.cpp
@@ -44,14 +44,21 @@
 
 std::size_t connection_limit(const state& all, const group& g)
 {
-    return std::max<std::size_t>(
-        g.settings.max_connections / std::max<std::size_t>(all.live_hosts, 1),
-        1);
+    // A share is left over for status queries, for hosts that reach no owner
+    // and for the connections of an owner that was replaced.
+    const auto parts = g.share ? g.share->owners + 1 : all.live_hosts;
+    const bool owned = !g.share || g.share->owned;
+    const auto limit =
+        g.settings.max_connections / std::max<std::size_t>(parts, 1);
+    return owned ? std::max<std::size_t>(limit, 1) : 1;
 }
 
 std::size_t running_limit(const state& all, const member& m)
 {
-    const auto hosts = std::max<std::size_t>(all.live_hosts, 1);
+    const auto g = all.groups.find(m.record.group);
+    const bool shared = g != all.groups.end() && g->second.share;
+    const auto hosts = std::max<std::size_t>(
+        shared ? g->second.share->owners : all.live_hosts, 1);
     const bool remote = m.record.data_centre != all.settings.data_centre;
     const auto total = m.record.slots * all.settings.statements_per_slot *
                        (remote ? all.settings.remote_factor : 1);
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -174,6 +174,18 @@
     dispatch(ctx, g->second);
 }
 
+void apply_shares(context& ctx, const group_shares_changed& what)
+{
+    for (auto& [id, g] : ctx.pooler.groups)
+    {
+        const auto n = what.shares.find(id);
+        g.share.reset();
+        if (n != what.shares.end())
+            g.share = n->second;
+        dispatch(ctx, g);
+    }
+}
+
 void detect_stall(state& it, core::time_point now)
 {
     if (!it.active_sessions.empty() &&
@@ -234,6 +246,14 @@
     {
         ctx.pooler.live_hosts = std::max<std::size_t>(it.live, 1);
     }
+    void operator()(const group_shares_changed& it) const
+    {
+        apply_shares(ctx, it);
+    }
+    void operator()(const relayed_sessions_draining& it) const
+    {
+        drain_sessions(ctx, it);
+    }
     void operator()(const timer_tick&) const
     {
         expire(ctx);
@@ -299,7 +319,8 @@
 
 bool needs_ticks(const state& it)
 {
-    return !it.active_sessions.empty() || it.shutdown_since.has_value();
+    return !it.active_sessions.empty() || !it.draining_sessions.empty() ||
+           it.shutdown_since.has_value();
 }
 
 std::size_t open_sessions(const state& it)
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -105,7 +105,7 @@
         return {};
     if (is_idle_too_long(ctx, s))
         return "transaction idle limit exceeded";
-    return ends_transactions(ctx) ? "this host is shutting down" : "";
+    return ends_transactions(ctx, s) ? "this host is shutting down" : "";
 }
 
 void expire_transaction(context& ctx, caller_session& s, std::string reason)
@@ -117,6 +117,13 @@
     s.tx.unreported_reason = std::move(reason);
 }
 
+std::chrono::milliseconds shutdown_idle_of(const context& ctx,
+                                           const caller_session& s)
+{
+    const auto& settings = ctx.pooler.settings;
+    return s.relayed ? settings.relayed_shutdown_idle : settings.shutdown_idle;
+}
+
 void expire_sessions(context& ctx)
 {
     std::vector<session_number> close;
@@ -125,8 +132,8 @@
         if (auto reason = expiry_reason(ctx, s); !reason.empty())
             expire_transaction(ctx, s, std::move(reason));
         const bool idle = !s.current && s.tx.phase == transaction_phase::none;
-        if (ctx.pooler.shutdown_since && idle &&
-            ctx.now - s.idle_since >= ctx.pooler.settings.shutdown_idle)
+        if (shutdown_start(ctx, s) && idle &&
+            ctx.now - s.idle_since >= shutdown_idle_of(ctx, s))
             close.push_back(number);
     }
     for (const auto number : close)
@@ -154,8 +161,22 @@
     if (!ctx.pooler.shutdown_since)
         ctx.pooler.shutdown_since = ctx.now;
     for (const auto number : ctx.pooler.active_sessions)
-        limit_to_shutdown(ctx, *ctx.pooler.sessions.at(number).current);
+        limit_to_shutdown(ctx, ctx.pooler.sessions.at(number));
     expire_sessions(ctx);
 }
 
+void drain_sessions(context& ctx, const relayed_sessions_draining& what)
+{
+    for (const auto number : what.sessions)
+    {
+        const auto it = ctx.pooler.sessions.find(number);
+        if (it == ctx.pooler.sessions.end())
+            continue;
+        it->second.draining_since = what.since;
+        ctx.pooler.draining_sessions.insert(number);
+        if (it->second.current)
+            limit_to_shutdown(ctx, it->second);
+    }
+}
+
 }  // namespace godwitbarrow::pooler::detail
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -190,7 +190,7 @@
     if (s.tx.phase != transaction_phase::none)
         return fail_statement(ctx, number, failure_code::aborted, reason);
     const bool at_once =
-        is_closing(ctx) || begins_transaction(s.current->request.stmt);
+        is_closing(ctx, s) || begins_transaction(s.current->request.stmt);
     answer_locally(ctx, number, failure{failure_code::busy, reason});
     if (at_once && ctx.pooler.sessions.count(number) > 0)
         close_session(ctx, number);
@@ -214,7 +214,7 @@
         return answer_locally(
             ctx, number, failure{failure_code::unknown_database, s.database});
     s.current->deadline = ctx.now + s.active_route.statement_timeout;
-    limit_to_shutdown(ctx, *s.current);
+    limit_to_shutdown(ctx, s);
     ctx.pooler.active_sessions.insert(number);
     run_statement(ctx, number, s);
 }
@@ -234,6 +234,7 @@
     const auto it = ctx.pooler.sessions.find(number);
     end_transaction(ctx, it->second);
     ctx.pooler.active_sessions.erase(number);
+    ctx.pooler.draining_sessions.erase(number);
     ctx.pooler.sessions.erase(it);
 }
 
@@ -341,6 +342,7 @@
 {
     caller_session s;
     s.database = what.database;
+    s.relayed = what.relayed;
     s.idle_since = ctx.now;
     // Before the first configuration arrives, no database is known, so the
     // session is accepted.
--- a/libs/pooler/src/shutdown.cpp
+++ b/libs/pooler/src/shutdown.cpp
@@ -7,9 +7,10 @@
 namespace
 {
 
-bool shutdown_lasts(const context& ctx, std::chrono::milliseconds limit)
+bool shutdown_lasts(const context& ctx, const caller_session& s,
+                    std::chrono::milliseconds limit)
 {
-    const auto& since = ctx.pooler.shutdown_since;
+    const auto since = shutdown_start(ctx, s);
     return since && ctx.now - *since >= limit;
 }
 
@@ -17,30 +18,40 @@
 /// balancer has noticed the shutdown, statements are accepted nevertheless.
 bool may_outlast_shutdown(const context& ctx, const caller_session& s)
 {
-    const auto end = shutdown_deadline(ctx);
+    const auto end = shutdown_deadline(ctx, s);
     return end && ctx.now + s.active_route.statement_timeout > *end &&
-           shutdown_lasts(ctx, ctx.pooler.settings.shutdown_notice);
+           shutdown_lasts(ctx, s, ctx.pooler.settings.shutdown_notice);
 }
 
 }  // namespace
 
-std::optional<core::time_point> shutdown_deadline(const context& ctx)
+std::optional<core::time_point> shutdown_start(const context& ctx,
+                                               const caller_session& s)
 {
-    const auto& since = ctx.pooler.shutdown_since;
+    const auto& own = ctx.pooler.shutdown_since;
+    if (!own || !s.draining_since)
+        return own ? own : s.draining_since;
+    return std::min(*own, *s.draining_since);
+}
+
+std::optional<core::time_point> shutdown_deadline(const context& ctx,
+                                                  const caller_session& s)
+{
+    const auto since = shutdown_start(ctx, s);
     if (!since)
         return std::nullopt;
     return *since + ctx.pooler.settings.shutdown_limit;
 }
 
-void limit_to_shutdown(const context& ctx, pending_statement& what)
+void limit_to_shutdown(const context& ctx, caller_session& s)
 {
-    if (const auto end = shutdown_deadline(ctx))
-        what.deadline = std::min(what.deadline, *end);
+    if (const auto end = shutdown_deadline(ctx, s))
+        s.current->deadline = std::min(s.current->deadline, *end);
 }
 
-bool is_closing(const context& ctx)
+bool is_closing(const context& ctx, const caller_session& s)
 {
-    return shutdown_lasts(ctx, ctx.pooler.settings.shutdown_statements);
+    return shutdown_lasts(ctx, s, ctx.pooler.settings.shutdown_statements);
 }
 
 bool begins_transaction(const statement& it)
@@ -48,9 +59,9 @@
     return it.kind == verb::begin || it.kind == verb::begin_read;
 }
 
-bool ends_transactions(const context& ctx)
+bool ends_transactions(const context& ctx, const caller_session& s)
 {
-    return shutdown_lasts(ctx, ctx.pooler.settings.shutdown_transactions);
+    return shutdown_lasts(ctx, s, ctx.pooler.settings.shutdown_transactions);
 }
 
 bool comes_too_late(const context& ctx, const caller_session& s,
@@ -59,21 +70,21 @@
     switch (s.tx.phase)
     {
         case transaction_phase::none:
-            return is_closing(ctx) || may_outlast_shutdown(ctx, s) ||
-                   (begins_transaction(what) && ends_transactions(ctx));
+            return is_closing(ctx, s) || may_outlast_shutdown(ctx, s) ||
+                   (begins_transaction(what) && ends_transactions(ctx, s));
         case transaction_phase::failed:
             return false;
         case transaction_phase::open:
             // A commit of a transaction that was busy at the limit may still
             // end it.
             if (what.kind == verb::commit)
-                return is_closing(ctx) ||
-                       (ends_transactions(ctx) && may_outlast_shutdown(ctx, s));
+                return is_closing(ctx, s) || (ends_transactions(ctx, s) &&
+                                              may_outlast_shutdown(ctx, s));
             break;
         case transaction_phase::deferred:
             break;
     }
-    return what.kind != verb::rollback && ends_transactions(ctx);
+    return what.kind != verb::rollback && ends_transactions(ctx, s);
 }
 
 }  // namespace godwitbarrow::pooler::detail
