--- a/apps/proxy/src/pooled/mesh.cpp
+++ b/apps/proxy/src/pooled/mesh.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::chrono::milliseconds connect_timeout{800};
 constexpr std::chrono::milliseconds retry_pause{300};
+/// From the start of a connection to the hello of the other host.
+constexpr std::chrono::milliseconds hello_timeout{2000};
+/// Of a machine that no longer acknowledges what is sent to it.
+constexpr std::chrono::milliseconds silence_limit{3000};
 
 void open_wanted(app& it);
 
@@ -52,6 +56,7 @@
     std::lock_guard lock(it.mesh.mutex);
     auto& p = it.mesh.peers[from.host];
     p.connecting = false;
+    p.greeted.reset();
     const bool known = p.link && p.incarnation == from.incarnation;
     if (!known)
         forget_links(it, from.host);
@@ -100,6 +105,22 @@
         handler->second(*from, body->bytes);
 }
 
+/// Lets a connection attempt that ended without a hello be made again.
+void end_attempt(app& it, mesh_peer& p)
+{
+    p.connecting = false;
+    p.greeted.reset();
+    p.retry_at = core::runtime_clock::now() + retry_pause;
+    after(it, retry_pause, [&it] { open_wanted(it); });
+}
+
+void lose_greeted_link(app& it, const peer::link_ptr& link)
+{
+    for (auto& [name, p] : it.mesh.peers)
+        if (p.greeted == link)
+            return end_attempt(it, p);
+}
+
 /// Two hosts that connect to each other at the same time have two links. Both
 /// are closed when one breaks, so that no message is lost unnoticed.
 void lose_link(app& it, const peer::link_ptr& link)
@@ -110,7 +131,7 @@
         std::lock_guard lock(it.mesh.mutex);
         const auto n = it.mesh.names.find(link);
         if (n == it.mesh.names.end())
-            return;
+            return lose_greeted_link(it, link);
         peer = n->second;
         auto& p = it.mesh.peers[peer];
         others = forget_links(it, peer);
@@ -145,18 +166,29 @@
     peer::send(link, peer::hello{it.settings.name, it.mesh.incarnation});
 }
 
+/// Closes the link unless the other host has said who it is.
+void check_hello(app& it, const core::host_id& to, const peer::link_ptr& link)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    const auto n = it.mesh.peers.find(to);
+    if (n != it.mesh.peers.end() && n->second.greeted == link)
+        peer::close(link);
+}
+
 void finish_connect(app& it, const core::host_id& to,
                     const core::result<peer::link_ptr>& opened)
 {
-    if (const auto* link = std::get_if<peer::link_ptr>(&opened))
-        return greet(it, *link);
+    const auto* link = std::get_if<peer::link_ptr>(&opened);
     {
         std::lock_guard lock(it.mesh.mutex);
         auto& p = it.mesh.peers[to];
-        p.connecting = false;
-        p.retry_at = core::runtime_clock::now() + retry_pause;
+        if (!link)
+            return end_attempt(it, p);
+        p.greeted = *link;
     }
-    after(it, retry_pause, [&it] { open_wanted(it); });
+    greet(it, *link);
+    after(it, hello_timeout,
+          [&it, to, link = *link] { check_hello(it, to, link); });
 }
 
 /// The wanted hosts that have no link and whose pause is over; they count as
@@ -180,10 +212,17 @@
     return out;
 }
 
+peer::link_limits limits_of_links()
+{
+    peer::link_limits out;
+    out.connect_timeout = connect_timeout;
+    out.silence_limit = silence_limit;
+    return out;
+}
+
 void open_wanted(app& it)
 {
-    peer::link_limits limits;
-    limits.connect_timeout = connect_timeout;
+    const auto limits = limits_of_links();
     for (const auto& host : take_due(it))
         peer::connect(
             it.io.get_executor(), host.address,
@@ -214,7 +253,7 @@
                 detail::greet(it, link);
             detail::take_message(it, link, what);
         },
-        detail::closed_handler_of(it));
+        detail::closed_handler_of(it), detail::limits_of_links());
     if (const auto* e = std::get_if<core::error>(&listening))
         return *e;
     it.mesh.listener = std::get<peer::listener_ptr>(listening);
--- a/apps/proxy/src/pooled/mesh_table.hpp
+++ b/apps/proxy/src/pooled/mesh_table.hpp
@@ -21,7 +21,10 @@
     /// The link that messages to the host are sent on; absent while closed.
     peer::link_ptr link;
     std::uint64_t incarnation = 0;
+    /// Until a host that is connected to has said who it is.
     bool connecting = false;
+    /// The link that waits for that.
+    peer::link_ptr greeted;
     std::optional<core::time_point> retry_at;
 };
 
--- a/libs/peer/include/godwitbarrow/peer/link.hpp
+++ b/libs/peer/include/godwitbarrow/peer/link.hpp
@@ -24,6 +24,9 @@
     /// From the first byte of a frame to its last.
     std::chrono::milliseconds frame_timeout{10000};
     std::chrono::milliseconds connect_timeout{2000};
+    /// A connection whose other machine acknowledges nothing for this long is
+    /// closed; zero leaves it to the system. At least two seconds otherwise.
+    std::chrono::milliseconds silence_limit{0};
 };
 
 /// One connection. Its handlers run on its own strand, one at a time.
--- a/libs/peer/src/connect.cpp
+++ b/libs/peer/src/connect.cpp
@@ -55,7 +55,7 @@
     made->on_message = it->on_message;
     made->on_closed = it->on_closed;
     made->remote = convert(remote);
-    made->socket.set_option(tcp::no_delay(true), ec);
+    set_options(made);
     asio::dispatch(made->socket.get_executor(),
                    [made] { start_reading(made); });
 }
@@ -125,8 +125,7 @@
         return call(unreachable(
             it->remote, late ? error_code(asio::error::timed_out) : ec));
     }
-    error_code ignored;
-    it->socket.set_option(tcp::no_delay(true), ignored);
+    set_options(it);
     call(it);
     start_reading(it);
 }
--- a/libs/peer/src/link.cpp
+++ b/libs/peer/src/link.cpp
@@ -1,5 +1,8 @@
 #include "godwitbarrow/peer/link.hpp"
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
@@ -146,8 +149,36 @@
                                { after_read(it, ec, n); });
 }
 
+template <int Level, int Name>
+void set_option(strand_socket& socket, int value)
+{
+    error_code ec;
+    socket.set_option(asio::detail::socket_option::integer<Level, Name>(value),
+                      ec);
+}
+
+/// Has the system probe an idle connection each second.
+void limit_silence(strand_socket& socket, std::chrono::milliseconds limit)
+{
+    error_code ec;
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    const auto ms = static_cast<int>(limit.count());
+    set_option<IPPROTO_TCP, TCP_USER_TIMEOUT>(socket, ms);
+    set_option<IPPROTO_TCP, TCP_KEEPIDLE>(socket, 1);
+    set_option<IPPROTO_TCP, TCP_KEEPINTVL>(socket, 1);
+    set_option<IPPROTO_TCP, TCP_KEEPCNT>(socket, std::max(1, ms / 1000 - 1));
+}
+
 }  // namespace
 
+void set_options(const link_ptr& it)
+{
+    error_code ec;
+    it->socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    if (it->limits.silence_limit > std::chrono::milliseconds(0))
+        limit_silence(it->socket, it->limits.silence_limit);
+}
+
 void start_reading(const link_ptr& it)
 {
     read(it);
--- a/libs/peer/src/link_state.hpp
+++ b/libs/peer/src/link_state.hpp
@@ -57,6 +57,9 @@
 namespace detail
 {
 
+/// Sets the options of a connected socket that the limits of the link ask for.
+void set_options(const link_ptr& it);
+
 /// Starts to read on a connected link. Runs on its strand.
 void start_reading(const link_ptr& it);
 
