Let two hosts of a data centre read the store for all

Each host followed the tables of the store and renewed its row every 3 s, so calls grew with the hosts. Now the two readers of a data centre follow the tables and pass on what they read; hosts tell by heartbeats which hosts live. A host whose readers are silent or turned away reads for itself.

pooled_test, hosts_test and peer_test pass.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -17,6 +17,7 @@
 #include "godwitbarrow/takeover/decide.hpp"
 #include "godwitbarrow/telemetry/metrics.hpp"
 #include "host_settings.hpp"
+#include "host_table.hpp"
 #include "mesh_table.hpp"
 
 /// The pooler as a process: connections, timers and the store around the
@@ -77,6 +78,7 @@
         : settings(std::move(it)),
           io(static_cast<int>(settings.workers)),
           acceptor(io),
+          hosts(io),
           tick(io)
     {
     }
@@ -84,6 +86,7 @@
     const host_settings settings;
     boost::asio::io_context io;
     boost::asio::ip::tcp::acceptor acceptor;
+    host_table hosts;
     decision_table decisions;
     link_table links;
     takeover_table takeovers;
--- /dev/null
+++ b/apps/proxy/src/pooled/row_share.cpp
@@ -0,0 +1,207 @@
+#include "row_share.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+#include "mesh.hpp"
+
+namespace godwitbarrow::proxy::pooled
+{
+namespace detail
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Below the limit of a frame, which also holds the last row of a part.
+constexpr std::size_t part_bytes = std::size_t{256} * 1024;
+
+void send_update(app& it, const core::host_id& to,
+                 const hosts::row_update& update)
+{
+    for (auto& part : hosts::split(update, part_bytes))
+        send_to_host(it, to, peer::topic::rows, hosts::encode(std::move(part)));
+}
+
+void pass_on(app& it, const hosts::row_update& update,
+             const std::optional<core::host_id>& from)
+{
+    for (const auto& [name, host] : it.hosts.linked)
+        if (host.wants_rows && name != from)
+            send_update(it, name, update);
+}
+
+platform::row_page page_of(const hosts::row_update& from, core::time_point now)
+{
+    platform::row_page out;
+    out.version = from.version;
+    out.era = from.era;
+    out.read_at = now - from.age;
+    out.store_time = from.store_time;
+    out.rows.reserve(from.rows.size());
+    for (const auto& n : from.rows)
+        out.rows.push_back({from.name, n.key, n.value, n.version, n.deleted});
+    return out;
+}
+
+hosts::row_update update_of(const hosts::table_copy& copy,
+                            const platform::row_page& page,
+                            const std::optional<std::uint64_t>& after,
+                            core::time_point now)
+{
+    hosts::row_update out;
+    out.name = copy.name;
+    out.era = page.era;
+    out.version = page.version;
+    out.whole = !after;
+    // Hosts were not told of versions without rows.
+    out.after = std::min(after.value_or(0), copy.changed);
+    out.age = std::chrono::duration_cast<milliseconds>(now - page.read_at);
+    out.store_time = page.store_time;
+    out.rows.reserve(page.rows.size());
+    for (const auto& n : page.rows)
+        out.rows.push_back({n.key, n.value, n.version, n.deleted});
+    return out;
+}
+
+void take_update(app& it, followed_table& table,
+                 const hosts::row_update& update,
+                 const std::optional<core::host_id>& from)
+{
+    const auto now = core::runtime_clock::now();
+    const auto result = hosts::apply(table.copy, update, now);
+    if (result == hosts::update_result::gap && from)
+        send_to_host(it, *from, peer::topic::rows,
+                     hosts::encode(hosts::row_request{update.name}));
+    if (result != hosts::update_result::applied)
+        return;
+    advance_watch(table.watch, {table.copy.version, table.copy.era});
+    if (!update.whole && update.rows.empty())
+        return;
+    table.handler(page_of(update, now), update.whole);
+    pass_on(it, update, from);
+}
+
+void take_message(app& it, const core::host_id& from,
+                  const hosts::message& what)
+{
+    if (const auto* request = std::get_if<hosts::row_request>(&what))
+    {
+        const auto n = it.hosts.tables.find(request->name);
+        if (n != it.hosts.tables.end() && n->second.copy.known)
+            send_update(it, from,
+                        hosts::whole_update(n->second.copy,
+                                            core::runtime_clock::now()));
+        return;
+    }
+    const auto* part = std::get_if<hosts::row_update>(&what);
+    if (!part)
+        return;
+    const auto update = hosts::join(it.hosts.linked[from].parts, *part);
+    if (!update)
+        return;
+    const auto n = it.hosts.tables.find(update->name);
+    if (n != it.hosts.tables.end())
+        take_update(it, n->second, *update, from);
+}
+
+void begin_to_follow(app& it, const std::string& name, const watch_times& times,
+                     row_handler handler)
+{
+    auto& table = it.hosts.tables[name];
+    table.copy.name = name;
+    table.handler = std::move(handler);
+    table.watch = watch_table(
+        it, name, times,
+        [&it, &table](const platform::row_page& page,
+                      const std::optional<std::uint64_t>& after)
+        {
+            const auto now = core::runtime_clock::now();
+            take_update(it, table, update_of(table.copy, page, after, now),
+                        std::nullopt);
+        });
+    if (it.hosts.role_known)
+        set_resting(it, table.watch, !it.hosts.role.reading);
+}
+
+}  // namespace
+}  // namespace detail
+
+void follow_table(app& it, std::string_view table, const watch_times& times,
+                  row_handler handler)
+{
+    boost::asio::post(
+        it.hosts.strand, [&it, name = std::string(table), times,
+                          handler = std::move(handler)]() mutable
+        { detail::begin_to_follow(it, name, times, std::move(handler)); });
+}
+
+void accept_shared_rows(app& it)
+{
+    on_host_message(
+        it, peer::topic::rows,
+        [&it](const core::host_id& from, std::string_view bytes)
+        {
+            auto what = hosts::decode(bytes);
+            if (!ok(what))
+                return;
+            boost::asio::post(
+                it.hosts.strand,
+                [&it, from, what = std::get<hosts::message>(std::move(what))]
+                { detail::take_message(it, from, what); });
+        });
+}
+
+void send_all_tables(app& it, const core::host_id& to)
+{
+    const auto now = core::runtime_clock::now();
+    for (const auto& [name, table] : it.hosts.tables)
+        if (table.copy.known)
+            detail::send_update(it, to, hosts::whole_update(table.copy, now));
+}
+
+void note_positions(app& it, const core::host_id& from,
+                    const std::vector<hosts::table_position>& known)
+{
+    auto& ahead = it.hosts.linked[from].ahead;
+    const auto now = core::runtime_clock::now();
+    for (const auto& position : known)
+    {
+        const auto n = it.hosts.tables.find(position.name);
+        if (n == it.hosts.tables.end())
+            continue;
+        if (hosts::confirm(n->second.copy, position, now))
+            ahead.erase(position.name);
+        // The rows may just be on their way after the first heartbeat.
+        else if (!ahead.insert(position.name).second)
+            send_to_host(it, from, peer::topic::rows,
+                         hosts::encode(hosts::row_request{position.name}));
+    }
+}
+
+std::vector<hosts::table_position> known_positions(const app& it)
+{
+    std::vector<hosts::table_position> out;
+    const auto now = core::runtime_clock::now();
+    for (const auto& [name, table] : it.hosts.tables)
+        if (table.copy.known)
+            out.push_back(hosts::position_of(table.copy, now));
+    return out;
+}
+
+bool store_answers(const app& it)
+{
+    return std::all_of(
+        it.hosts.tables.begin(), it.hosts.tables.end(),
+        [](const auto& n)
+        { return n.second.copy.known && is_answered(n.second.watch); });
+}
+
+void set_reading(app& it, bool reading)
+{
+    for (auto& [name, table] : it.hosts.tables)
+        set_resting(it, table.watch, !reading);
+}
+
+}  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -13,6 +13,7 @@
 #include "host_census.hpp"
 #include "links.hpp"
 #include "mesh.hpp"
+#include "row_share.hpp"
 #include "store_watch.hpp"
 #include "takeovers.hpp"
 
@@ -151,6 +152,8 @@
     auto http = detail::start_http(it);
     if (!ok(http))
         return http;
+    accept_heartbeats(it);
+    accept_shared_rows(it);
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
@@ -165,6 +168,7 @@
 {
     telemetry::log_event(telemetry::log_level::info, "stopping",
                          {{"grace", it.settings.grace}});
+    announce_leaving(it);
     handle(it, pooler::shutdown_started{});
     detail::await_end(it, core::runtime_clock::now(),
                       std::make_shared<core::timer>(it.io));
--- a/apps/proxy/src/pooled/store_watch.cpp
+++ b/apps/proxy/src/pooled/store_watch.cpp
@@ -7,8 +7,8 @@
 #include "godwitbarrow/platform/records.hpp"
 #include "godwitbarrow/platform/rows.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
+#include "row_share.hpp"
 #include "store_link.hpp"
-#include "table_watch.hpp"
 
 namespace godwitbarrow::proxy::pooled
 {
@@ -125,12 +125,12 @@
 
 void watch_store(app& it)
 {
-    watch_table(it, platform::operator_table,
-                watch_times_for(it.settings.change_limit),
-                [&it](const platform::row_page& page, bool)
-                { detail::take_configuration(it, page); });
+    follow_table(it, platform::operator_table,
+                 watch_times_for(it.settings.change_limit),
+                 [&it](const platform::row_page& page, bool)
+                 { detail::take_configuration(it, page); });
     const auto members = std::make_shared<detail::registry>(it.io);
-    watch_table(
+    follow_table(
         it, platform::registration_table, watch_times{},
         [&it, members](const platform::row_page& page, bool whole)
         {
--- a/apps/proxy/src/pooled/table_watch.cpp
+++ b/apps/proxy/src/pooled/table_watch.cpp
@@ -1,11 +1,28 @@
 #include "table_watch.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 #include "godwitbarrow/telemetry/log.hpp"
 
 namespace godwitbarrow::proxy::pooled
 {
+
+/// Follows one table: reads all rows, then what changes.
+struct table_watch
+{
+    std::string table;
+    watch_times times;
+    std::shared_ptr<service_link> link;
+    /// Reads anew while unset.
+    std::optional<watch_position> known;
+    bool reachable = true;
+    bool resting = true;
+    /// Whether there is neither a call nor a pause before one.
+    bool idle = false;
+    watch_handler changed;
+};
+
 namespace detail
 {
 namespace
@@ -82,26 +99,7 @@
                  { take_part(it, r, began, page_of(got)); });
 }
 
-/// Follows one table: reads all rows, then what changes.
-struct table_watch
-{
-    std::string table;
-    watch_times times;
-    std::shared_ptr<service_link> link;
-    /// Up to which the rows are known.
-    struct position
-    {
-        std::uint64_t version = 0;
-        std::uint64_t era = 0;
-    };
-    /// Reads anew while unset.
-    std::optional<position> known;
-    bool reachable = true;
-    std::function<void(const platform::row_page&, bool whole)> changed;
-};
-using watch_ptr = std::shared_ptr<table_watch>;
-
-void follow(app& it, const watch_ptr& w);
+void follow(app& it, const table_watch_ptr& w);
 
 void note_reachable(table_watch& w, bool reachable, const std::string& reason)
 {
@@ -120,58 +118,81 @@
                          {{"table", w.table}, {"era", era}});
 }
 
-void take_page(app& it, const watch_ptr& w,
-               const core::result<platform::row_page>& got, bool whole)
+/// Runs on the strand after a pause.
+void follow_after(app& it, const table_watch_ptr& w,
+                  std::chrono::milliseconds pause)
+{
+    after(it, pause,
+          [&it, w]
+          { boost::asio::post(it.hosts.strand, [&it, w] { follow(it, w); }); });
+}
+
+void follow_on(app& it, const table_watch_ptr& w)
+{
+    if (w->times.pause > std::chrono::milliseconds(0))
+        return follow_after(it, w, w->times.pause);
+    follow(it, w);
+}
+
+void take_page(app& it, const table_watch_ptr& w,
+               const core::result<platform::row_page>& got,
+               const std::optional<watch_position>& from)
 {
     if (const auto* e = std::get_if<core::error>(&got))
     {
         note_reachable(*w, false, e->message);
         if (e->kind == core::error_kind::conflict)
             w->known.reset();
-        return after(it, retry_pause, [&it, w] { follow(it, w); });
+        return follow_after(it, w, retry_pause);
     }
     note_reachable(*w, true, {});
     const auto& page = std::get<platform::row_page>(got);
-    if (!whole && page.era != w->known->era)
+    if (from && page.era != from->era)
     {
         note_new_era(*w, page.era);
         w->known.reset();
         return follow(it, w);
     }
-    w->known = {page.version, page.era};
-    if (whole || !page.rows.empty())
-        w->changed(page, whole);
-    follow(it, w);
+    advance_watch(w, {page.version, page.era});
+    w->changed(page, from ? std::optional(from->version) : std::nullopt);
+    follow_on(it, w);
 }
 
-void read_whole(app& it, const watch_ptr& w)
+void read_whole(app& it, const table_watch_ptr& w)
 {
     read_table(it, w->link, w->table, {}, w->times.answer,
                [&it, w](const core::result<platform::row_page>& got)
-               { take_page(it, w, got, true); });
+               {
+                   boost::asio::post(it.hosts.strand, [&it, w, got]
+                                     { take_page(it, w, got, std::nullopt); });
+               });
 }
 
-void read_changes(app& it, const watch_ptr& w)
+void read_changes(app& it, const table_watch_ptr& w)
 {
     // After a failure the store answers at once, so that a repeated call on a
     // connection that went silent meanwhile is noticed early.
     const auto wait =
         w->reachable ? w->times.wait : std::chrono::milliseconds(0);
     const auto began = core::runtime_clock::now();
-    call_service(it, w->link,
-                 platform::watch_rows(w->table, w->known->version, wait),
-                 wait + w->times.answer,
-                 [&it, w, began](const http::exchange_result& got)
-                 {
-                     auto page = page_of(got);
-                     if (ok(page))
-                         std::get<platform::row_page>(page).read_at = began;
-                     take_page(it, w, page, false);
-                 });
+    call_service(
+        it, w->link, platform::watch_rows(w->table, w->known->version, wait),
+        wait + w->times.answer,
+        [&it, w, began, from = *w->known](const http::exchange_result& got)
+        {
+            auto page = page_of(got);
+            if (ok(page))
+                std::get<platform::row_page>(page).read_at = began;
+            boost::asio::post(it.hosts.strand, [&it, w, page, from]
+                              { take_page(it, w, page, from); });
+        });
 }
 
-void follow(app& it, const watch_ptr& w)
+void follow(app& it, const table_watch_ptr& w)
 {
+    w->idle = w->known && w->resting;
+    if (w->idle)
+        return;
     if (w->known)
         read_changes(it, w);
     else
@@ -205,16 +226,35 @@
     detail::read_next(it, r);
 }
 
-void watch_table(
-    app& it, std::string_view table, const watch_times& times,
-    std::function<void(const platform::row_page&, bool whole)> handler)
+table_watch_ptr watch_table(app& it, std::string_view table,
+                            const watch_times& times, watch_handler handler)
 {
-    const auto w = std::make_shared<detail::table_watch>();
+    const auto w = std::make_shared<table_watch>();
     w->table = table;
     w->times = times;
     w->link = make_store_link(it);
     w->changed = std::move(handler);
     detail::follow(it, w);
+    return w;
+}
+
+void set_resting(app& it, const table_watch_ptr& w, bool resting)
+{
+    w->resting = resting;
+    if (!resting && w->idle)
+        detail::follow(it, w);
+}
+
+void advance_watch(const table_watch_ptr& w, const watch_position& to)
+{
+    if (!w->known || to.era > w->known->era ||
+        (to.era == w->known->era && to.version > w->known->version))
+        w->known = to;
+}
+
+bool is_answered(const table_watch_ptr& w)
+{
+    return w->reachable;
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/table_watch.hpp
+++ b/apps/proxy/src/pooled/table_watch.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string_view>
 
 #include "app.hpp"
@@ -20,8 +23,26 @@
     /// How long its answer may take beyond that. A call without an answer by
     /// then is lost.
     std::chrono::milliseconds answer{1200};
+    /// Between two calls, so that a table which many hosts write at the same
+    /// time does not take a call for each of them.
+    std::chrono::milliseconds pause{0};
 };
 
+struct table_watch;
+using table_watch_ptr = std::shared_ptr<table_watch>;
+
+/// Up to which a table is known.
+struct watch_position
+{
+    std::uint64_t version = 0;
+    std::uint64_t era = 0;
+};
+
+/// All rows of the table, or those that changed after `after`. Also called if
+/// none did.
+using watch_handler = std::function<void(
+    const platform::row_page&, const std::optional<std::uint64_t>& after)>;
+
 /// Returns the times with which a call that was lost just after it was sent
 /// hides news no longer than the limit, which has to be at least 1500 ms: until
 /// it is given up, and the next call is answered.
@@ -38,10 +59,19 @@
                 std::string_view table, const platform::key_range& keys,
                 std::chrono::milliseconds call_timeout, page_handler handler);
 
-/// Reads the table and passes on its rows, then what changes in it. `whole`
-/// tells that rows which are not in the page no longer exist.
-void watch_table(
-    app& it, std::string_view table, const watch_times& times,
-    std::function<void(const platform::row_page&, bool whole)> handler);
+/// Reads the table and passes on its rows, then what changes in it. The watch
+/// rests once the table is known, until `set_resting`. This and what follows
+/// is called on the strand of `app::hosts`, on which the handler runs.
+table_watch_ptr watch_table(app& it, std::string_view table,
+                            const watch_times& times, watch_handler handler);
+
+/// Makes no more calls from now on, or goes on with what changed meanwhile.
+void set_resting(app& it, const table_watch_ptr& w, bool resting);
+
+/// Goes on from here, as another host has read the table so far.
+void advance_watch(const table_watch_ptr& w, const watch_position& to);
+
+/// Whether the last call was answered.
+bool is_answered(const table_watch_ptr& w);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -3,6 +3,7 @@
 #include "godwitbarrow/platform/rows.hpp"
 #include "godwitbarrow/takeover/row.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
+#include "row_share.hpp"
 #include "store_link.hpp"
 #include "table_watch.hpp"
 
@@ -172,7 +173,7 @@
                                               takeover::claim_observed claim)>
                                handler)
 {
-    watch_table(
+    follow_table(
         it, detail::claim_table, detail::claim_times,
         [handler = std::move(handler)](const platform::row_page& page, bool)
         {
--- a/libs/hosts/test/readers_test.cpp
+++ b/libs/hosts/test/readers_test.cpp
@@ -45,10 +45,10 @@
     {
         const auto drop = [&](const core::host_id& host)
         {
-            all.erase(std::remove_if(all.begin(), all.end(),
-                                     [&](const auto& n)
-                                     { return n.host == host; }),
-                      all.end());
+            all.erase(
+                std::remove_if(all.begin(), all.end(),
+                               [&](const auto& n) { return n.host == host; }),
+                all.end());
         };
         for (int pairs = 0; pairs < 2; ++pairs)
             for (const auto& host : hosts::readers_of({"north"}, all))
--- a/test/pooled/table_watch_test.cpp
+++ b/test/pooled/table_watch_test.cpp
@@ -29,9 +29,12 @@
 
     void follow()
     {
-        proxy::pooled::watch_table(host, table, {},
-                                   [this](const platform::row_page& page,
-                                          bool whole) { take(page, whole); });
+        const auto watch = proxy::pooled::watch_table(
+            host, table, {},
+            [this](const platform::row_page& page,
+                   const std::optional<std::uint64_t>& after)
+            { take(page, !after); });
+        proxy::pooled::set_resting(host, watch, false);
     }
 
     void take(const platform::row_page& page, bool whole)
