--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -17,6 +17,7 @@
 #include "godwitbarrow/takeover/decide.hpp"
 #include "godwitbarrow/telemetry/metrics.hpp"
 #include "host_settings.hpp"
+#include "host_table.hpp"
 #include "mesh_table.hpp"
 #include "relay_table.hpp"
 
@@ -78,6 +79,7 @@
         : settings(std::move(it)),
           io(static_cast<int>(settings.workers)),
           acceptor(io),
+          hosts(io),
           relays(io),
           tick(io)
     {
@@ -86,6 +88,7 @@
     const host_settings settings;
     boost::asio::io_context io;
     boost::asio::ip::tcp::acceptor acceptor;
+    host_table hosts;
     decision_table decisions;
     link_table links;
     takeover_table takeovers;
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -15,6 +15,7 @@
 #include "mesh.hpp"
 #include "owner_watch.hpp"
 #include "relay.hpp"
+#include "row_share.hpp"
 #include "store_watch.hpp"
 #include "takeovers.hpp"
 
@@ -155,6 +156,8 @@
     if (!ok(http))
         return http;
     start_relaying(it);
+    accept_heartbeats(it);
+    accept_shared_rows(it);
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
@@ -171,6 +174,7 @@
     telemetry::log_event(telemetry::log_level::info, "stopping",
                          {{"grace", it.settings.grace}});
     stop_relaying(it);
+    announce_leaving(it);
     handle(it, pooler::shutdown_started{});
     detail::await_end(it, core::runtime_clock::now(),
                       std::make_shared<core::timer>(it.io));
