--- a/apps/proxy/src/pooled/mesh.cpp
+++ b/apps/proxy/src/pooled/mesh.cpp
@@ -249,7 +249,8 @@
     out.host = it.settings.name;
     out.data_centre = it.settings.data_centre;
     out.region = it.settings.region;
-    out.address = it.settings.peers.value_or(core::endpoint{});
+    if (it.mesh.listener)
+        out.address = peer::local_endpoint(it.mesh.listener);
     out.core_share = it.settings.core_share;
     return out;
 }
--- a/libs/owners/src/owners.cpp
+++ b/libs/owners/src/owners.cpp
@@ -19,8 +19,8 @@
 /// With fewer, one lost owner takes too large a part of all sessions, and the
 /// owners cannot outvote one that has lost its primary alone.
 constexpr std::size_t min_owners = 3;
-/// An owner has at least this part of the largest share of a core in its
-/// region.
+/// A host with less than this part of the largest share of a core in its region
+/// is weak.
 constexpr double min_relative_share = 0.5;
 
 using host_list = std::vector<hosts::peer_host>;
@@ -50,27 +50,22 @@
     return out;
 }
 
-/// Removes hosts that are much weaker than the strongest one.
-host_list without_weak_hosts(host_list all)
-{
-    const auto least = largest_share(all) * min_relative_share;
-    all.erase(std::remove_if(all.begin(), all.end(),
-                             [least](const auto& it)
-                             { return it.core_share < least; }),
-              all.end());
-    return all;
-}
-
+/// The hosts with the highest scores. One that is much weaker than the
+/// strongest host is taken only if there are too few others.
 host_list best_of(const core::group_id& group, host_list all, std::size_t n)
 {
-    all = without_weak_hosts(std::move(all));
-    std::sort(all.begin(), all.end(),
-              [&](const auto& a, const auto& b)
-              {
-                  const auto x = weighted_score(group, a);
-                  const auto y = weighted_score(group, b);
-                  return x != y ? x > y : a.host < b.host;
-              });
+    const auto least = largest_share(all) * min_relative_share;
+    const auto is_better = [&](const auto& a, const auto& b)
+    {
+        const bool weak_a = a.core_share < least;
+        const bool weak_b = b.core_share < least;
+        if (weak_a != weak_b)
+            return weak_b;
+        const auto x = weighted_score(group, a);
+        const auto y = weighted_score(group, b);
+        return x != y ? x > y : a.host < b.host;
+    };
+    std::sort(all.begin(), all.end(), is_better);
     all.resize(std::min(all.size(), n));
     return all;
 }
@@ -84,6 +79,15 @@
     return out;
 }
 
+std::size_t owners_per_region(const member_capacity& capacity,
+                              std::size_t regions)
+{
+    const auto per_owner =
+        connections_per_slot * std::max<std::size_t>(capacity.slots, 1);
+    const auto least = (min_owners + regions - 1) / regions;
+    return std::max(capacity.max_connections / per_owner / regions, least);
+}
+
 bool by_name(const hosts::peer_host& a, const hosts::peer_host& b)
 {
     return a.host < b.host;
@@ -117,13 +121,7 @@
     if (detail::suffices_for_all(capacity, live.size()) || regions.empty())
         return out;
     out.all_hosts = false;
-    const auto wanted = std::max(
-        capacity.max_connections / (detail::connections_per_slot *
-                                    std::max<std::size_t>(capacity.slots, 1)),
-        detail::min_owners);
-    const auto per_region =
-        std::max(wanted / regions.size(),
-                 (detail::min_owners + regions.size() - 1) / regions.size());
+    const auto per_region = detail::owners_per_region(capacity, regions.size());
     for (const auto& [region, all] : regions)
         for (auto& it : detail::best_of(group, all, per_region))
             out.owners.push_back(std::move(it));
