--- a/test/pooled/deployment.hpp
+++ b/test/pooled/deployment.hpp
@@ -273,7 +273,8 @@
             register_member(*m);
     }
 
-    void configure(int version, int synchronous_replicas = 0)
+    void configure(int version, int synchronous_replicas = 0,
+                   int max_connections = 16)
     {
         const auto route = [](const char* host, const char* type, int age)
         {
@@ -288,8 +289,8 @@
                       R"(,"routes":[)" + route("newest", "primary", 0) + "," +
                       route("bounded", "bounded", 1500) + "," +
                       route("own", "session", 2500) +
-                      R"(],"services":[{"name":"quotes","max_conns":16,)"
-                      R"("sync_replicas":)" +
+                      R"(],"services":[{"name":"quotes","max_conns":)" +
+                      std::to_string(max_connections) + R"(,"sync_replicas":)" +
                       std::to_string(synchronous_replicas) +
                       R"(}],"limits":{"tx_idle_ms":3000}})");
     }
