--- a/apps/proxy/src/messages_in.cpp
+++ b/apps/proxy/src/messages_in.cpp
@@ -149,9 +149,7 @@
 }
 
 /// Only hosts of the mode pooler send payloads.
-void receive(const source&, const peer::payload&)
-{
-}
+void receive(const source&, const peer::payload&) {}
 
 }  // namespace
 }  // namespace detail
