Bound what a connection of lines holds and reads

A connection read on whatever its owner had not finished, kept an input buffer as large as its longest line and doubled it on the way. It can now be paused and resumed, stops reading while its peer leaves answers unread, gives the memory of long lines back, and tells how much it holds.

--- a/libs/stream/include/godwitbarrow/stream/connection.hpp
+++ b/libs/stream/include/godwitbarrow/stream/connection.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,9 @@
     /// Data that the peer does not acknowledge for this long breaks the
     /// connection; so does an idle peer that does not answer keep-alive probes.
     std::chrono::milliseconds silence_limit{2000};
+    /// While the peer leaves more than this unread, nothing is read from it. 0
+    /// reads on.
+    std::size_t read_pause_bytes = 0;
 };
 
 struct handlers
@@ -37,6 +41,23 @@
     /// Called once, after an error or the end of the stream, or after `close`
     /// by a handler of this connection. Not called after `close`.
     std::function<void(const std::string& reason)> closed;
+    /// The memory that the connection holds in buffers changed, beyond that of
+    /// an idle one and in steps of some KiB. May be empty.
+    std::function<void(std::size_t bytes)> holds;
+    /// Called once when the socket is closed for any reason, also by `close`.
+    /// May be empty.
+    std::function<void()> ended;
+};
+
+/// What has passed through a connection so far.
+struct progress
+{
+    std::uint64_t lines = 0;
+    /// Bytes that were received behind the last complete line.
+    std::size_t unfinished = 0;
+    bool paused = false;
+    std::uint64_t sent = 0;
+    std::size_t unsent = 0;
 };
 
 struct connection;
@@ -56,6 +77,13 @@
 /// Starts to read. Call once, for an adopted connection.
 void start(const connection_ptr& it);
 
+/// Delivers no further line and reads nothing until `resume`. Neither calls a
+/// handler before it returns.
+void pause(const connection_ptr& it);
+void resume(const connection_ptr& it);
+
+progress progress_of(const connection_ptr& it);
+
 /// Sends the bytes after those sent before.
 void send(const connection_ptr& it, std::string bytes);
 
--- a/libs/stream/test/connection_test.cpp
+++ b/libs/stream/test/connection_test.cpp
@@ -1,5 +1,7 @@
 #include "godwitbarrow/stream/connection.hpp"
 
+#include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -16,11 +18,16 @@
 struct pair
 {
     boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
+        work{io.get_executor()};
     tcp::acceptor acceptor{io, {boost::asio::ip::address_v4::loopback(), 0}};
     tcp::socket peer{io};
     stream::connection_ptr served;
     std::vector<std::string> lines;
     std::string closed;
+    std::size_t held = 0;
+    std::size_t most_held = 0;
+    int ends = 0;
 
     explicit pair(const stream::limits& within = {})
     {
@@ -36,6 +43,15 @@
         {
             closed = reason;
         };
+        on.holds = [this](std::size_t bytes)
+        {
+            held = bytes;
+            most_held = std::max(most_held, bytes);
+        };
+        on.ended = [this]
+        {
+            ++ends;
+        };
         served = stream::adopt(acceptor.accept(), std::move(on), within);
         stream::start(served);
     }
@@ -159,4 +175,66 @@
     BOOST_TEST(!closed.empty());
 }
 
+// Guards against a caller that sends on and fills the memory of this side.
+BOOST_FIXTURE_TEST_CASE(delivers_nothing_while_it_is_paused, pair)
+{
+    stream::pause(served);
+    write("one\r\ntwo\r\nthr");
+    io.run_for(20ms);
+    BOOST_TEST(lines.empty());
+    write("ee\r\n");
+    stream::resume(served);
+    run_until([&] { return lines.size() == 3; });
+    BOOST_TEST(lines == (std::vector<std::string>{"one", "two", "three"}));
+}
+
+// Guards against buffers that stay as large as their longest line.
+BOOST_FIXTURE_TEST_CASE(gives_back_the_memory_of_long_lines, pair)
+{
+    const std::string line(600000, 'x');
+    write(line + "\r\n");
+    run_until([&] { return lines.size() == 1 && held == 0; });
+    BOOST_TEST(lines[0] == line);
+    BOOST_TEST(most_held >= line.size());
+    BOOST_TEST(most_held < line.size() * 3 / 2);
+}
+
+// Guards against answers without a bound for a peer that sends requests on and
+// reads nothing.
+BOOST_AUTO_TEST_CASE(reads_nothing_while_much_is_unread)
+{
+    stream::limits within;
+    within.read_pause_bytes = 1000;
+    pair it(within);
+    const std::string answer(8 * 1024 * 1024, 'x');
+    it.peer.non_blocking(true);
+    stream::send(it.served, answer.substr(0, within.unsent_bytes));
+    stream::send(it.served, answer.substr(within.unsent_bytes));
+    it.write("one\r\n");
+    it.io.run_for(20ms);
+    BOOST_TEST(it.lines.empty());
+    BOOST_TEST(stream::progress_of(it.served).unsent > within.read_pause_bytes);
+    std::size_t got = 0;
+    std::vector<char> buf(65536);
+    boost::system::error_code ec;
+    it.run_until(
+        [&]
+        {
+            got += it.peer.read_some(boost::asio::buffer(buf), ec);
+            return got == answer.size() && !it.lines.empty();
+        });
+    it.run_until([&] { return it.held == 0; });
+    BOOST_TEST(stream::progress_of(it.served).sent == answer.size());
+}
+
+// Guards against connections that are counted after their end.
+BOOST_FIXTURE_TEST_CASE(tells_its_end_once, pair)
+{
+    stream::close(served);
+    stream::close(served);
+    run_until([&] { return ends > 0; });
+    io.run_for(20ms);
+    BOOST_TEST(ends == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
