Bound what the callers of a host may hold

Every connection of a caller takes what it holds (buffers, statements without an answer, values and prepared statements) from a budget of bytes that derives from the memory of the host. Over the budget, the largest holder is closed. Connections are bounded by the descriptors; at the bound those are closed that never started, then the longest idle sessions. A startup, a message or an answer that makes no progress closes the connection after 10 or 30 s. A session stores at most 2 MiB of values and prepared statements: a member connection that gets more at once breaks and looked like a failed primary. The ports for readiness and metrics close the connection whose last request is the longest ago instead of refusing the probe.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "caller_table.hpp"
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/lock_order.hpp"
 #include "godwitbarrow/gateway/admin.hpp"
@@ -86,6 +87,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     decision_table decisions;
     link_table links;
+    caller_table callers;
     takeover_table takeovers;
     mesh_table mesh;
     request_log requests;
--- a/apps/proxy/src/pooled/callers.cpp
+++ b/apps/proxy/src/pooled/callers.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/strand.hpp>
 #include <mutex>
 
+#include "caller_guard.hpp"
 #include "godwitbarrow/platform/caller_wire.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "links.hpp"
@@ -17,6 +18,7 @@
 
 /// After a failed accept, for example for want of descriptors.
 constexpr std::chrono::milliseconds accept_back_off{50};
+constexpr int receive_buffer_bytes = 64 * 1024;
 
 stream::connection_ptr find_caller(app& it, pooler::session_number session)
 {
@@ -75,7 +77,11 @@
         return disconnect(it, session);
     started = true;
     if (first)
+    {
+        note_started(it, session);
         return handle(it, pooler::caller_started{session, first->database});
+    }
+    note_statement(it, session, line.size());
     handle(it, pooler::caller_query{
                    session, std::get<pooler::query>(std::move(*message))});
 }
@@ -92,7 +98,17 @@
     {
         disconnect(it, session);
     };
-    const auto c = stream::adopt(std::move(socket), std::move(on));
+    on.holds = [&it, session](std::size_t bytes)
+    {
+        note_buffered(it, session, bytes);
+    };
+    on.ended = [&it, session]
+    {
+        remove_from_guard(it, session);
+    };
+    const auto c =
+        stream::adopt(std::move(socket), std::move(on), caller_stream_limits());
+    add_to_guard(it, session, c);
     {
         std::lock_guard lock(it.links.mutex);
         it.links.callers.emplace(session, c);
@@ -125,9 +141,11 @@
                 telemetry::log_event(telemetry::log_level::warning,
                                      "cannot accept a caller",
                                      {{"reason", ec.message()}});
+                make_room_for_caller(it);
                 return accept_later(it);
             }
-            add_caller(it, std::move(socket));
+            if (make_room_for_caller(it))
+                add_caller(it, std::move(socket));
             accept_next(it);
         });
 }
@@ -146,6 +164,12 @@
     if (!ec)
         it.acceptor.set_option(boost::asio::socket_base::reuse_address(true),
                                ec);
+    // What a caller sends ahead waits in the memory of the machine, too. The
+    // connections inherit the size.
+    if (!ec)
+        it.acceptor.set_option(boost::asio::socket_base::receive_buffer_size(
+                                   detail::receive_buffer_bytes),
+                               ec);
     if (!ec)
         it.acceptor.bind(to, ec);
     if (!ec)
@@ -176,6 +200,7 @@
 
 void reply(app& it, const pooler::reply_to_caller& what)
 {
+    note_answer(it, what);
     if (const auto c = detail::find_caller(it, what.session))
         stream::send(c, platform::encode_answer(what.reply));
 }
--- a/apps/proxy/src/pooled/host_settings.cpp
+++ b/apps/proxy/src/pooled/host_settings.cpp
@@ -65,6 +65,13 @@
         return {};
     }
 
+    /// Returns `absent` if the key is missing.
+    std::chrono::milliseconds time(const std::string& key,
+                                   std::chrono::milliseconds absent)
+    {
+        return has(key) ? time(key) : absent;
+    }
+
     std::size_t count(const std::string& key)
     {
         const auto it = settings::parse_count(text(key));
@@ -157,8 +164,13 @@
     it.memory = from.size("limits.memory", it.memory);
     it.descriptors =
         static_cast<std::uint64_t>(from.number("limits.descriptors", 0));
-    if (from.has("workspaces.quota_window"))
-        it.quota_window = from.time("workspaces.quota_window");
+    it.caller_startup_time =
+        from.time("callers.startup_time", it.caller_startup_time);
+    it.caller_message_time =
+        from.time("callers.message_time", it.caller_message_time);
+    it.caller_answer_time =
+        from.time("callers.answer_time", it.caller_answer_time);
+    it.quota_window = from.time("workspaces.quota_window", it.quota_window);
     it.quota_excess = from.number("workspaces.quota_excess", it.quota_excess);
     it.quota_slack =
         static_cast<std::uint64_t>(from.number("workspaces.quota_slack", 0));
--- a/apps/proxy/src/pooled/host_settings.hpp
+++ b/apps/proxy/src/pooled/host_settings.hpp
@@ -48,6 +48,12 @@
     std::uint64_t memory = 0;
     /// Descriptors of the process; 0 if only the system limits them.
     std::uint64_t descriptors = 0;
+    /// From the connect of a caller to its startup.
+    std::chrono::milliseconds caller_startup_time{10000};
+    /// From the first byte of a caller's message to its last.
+    std::chrono::milliseconds caller_message_time{30000};
+    /// Without a byte that the caller takes of an answer.
+    std::chrono::milliseconds caller_answer_time{30000};
     /// Any span of this length counts for the quota of a workspace; zero if the
     /// deployment has no quotas.
     std::chrono::milliseconds quota_window{0};
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "app.hpp"
+#include "caller_guard.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "host_census.hpp"
 #include "links.hpp"
@@ -157,6 +158,7 @@
     watch_store(it);
     count_hosts(it);
     watch_primaries(it);
+    start_caller_guard(it);
     detail::keep_ticking(it, std::make_shared<core::timer>(it.io));
     return listen_for_callers(it);
 }
--- a/libs/gateway/include/godwitbarrow/gateway/server.hpp
+++ b/libs/gateway/include/godwitbarrow/gateway/server.hpp
@@ -21,6 +21,9 @@
     std::size_t body_bytes = std::size_t{64} * 1024;
     std::size_t header_bytes = std::size_t{8} * 1024;
     std::size_t open_connections = 10000;
+    /// At the limit, closes the connection whose last request is the longest
+    /// ago, instead of refusing the new one.
+    bool replaces_oldest = false;
     /// From the first byte of a request to its last, and from the start of a
     /// connection to the end of its first request.
     std::chrono::milliseconds request_read_timeout{5000};
--- a/libs/gateway/src/admin.cpp
+++ b/libs/gateway/src/admin.cpp
@@ -16,7 +16,7 @@
 {
 
 constexpr std::string_view admin_prefix = "/v1/admin/";
-constexpr std::size_t admin_connections = 64;
+constexpr std::size_t admin_connections = 32;
 constexpr std::size_t admin_body_bytes = 1024;
 constexpr unsigned http_not_allowed = 405;
 constexpr unsigned http_internal_error = 500;
@@ -86,6 +86,8 @@
 {
     gateway_limits limits;
     limits.open_connections = detail::admin_connections;
+    // Half requests must not shut out the probes of the balancer.
+    limits.replaces_oldest = true;
     limits.body_bytes = detail::admin_body_bytes;
     detail::http_handlers http;
     http.on_request =
--- a/libs/gateway/src/http_server.cpp
+++ b/libs/gateway/src/http_server.cpp
@@ -23,12 +23,35 @@
 
 void accept(const http_server_ptr& it);
 
+/// Closes the connection whose last use is the longest ago.
+void replace_oldest(const http_server_ptr& it)
+{
+    session_ptr oldest;
+    for (const auto& [key, weak] : it->sessions)
+    {
+        auto one = weak.lock();
+        if (one && !one->replaced &&
+            (!oldest || one->last_use < oldest->last_use))
+            oldest = std::move(one);
+    }
+    if (!oldest)
+        return;
+    oldest->replaced = true;
+    asio::post(oldest->socket.get_executor(),
+               [oldest] { close_for_another(oldest); });
+}
+
 void admit(const http_server_ptr& it, strand_socket socket)
 {
     if (it->stopped)
         return;
-    const bool full = it->open >= it->limits.open_connections;
-    if (full && it->refusals >= most_refusals)
+    const auto most = it->limits.open_connections;
+    const bool replaces = it->limits.replaces_oldest && it->open >= most;
+    if (replaces)
+        replace_oldest(it);
+    // A replaced connection is open until its strand has closed it.
+    const bool full = it->open >= (replaces ? 2 * most : most);
+    if (full && (replaces || it->refusals >= most_refusals))
         return;
     const auto made = std::make_shared<session>(std::move(socket), it);
     made->refused = full;
--- a/libs/gateway/src/http_server.hpp
+++ b/libs/gateway/src/http_server.hpp
@@ -80,6 +80,8 @@
     const http_handlers handlers;
     std::unordered_map<const session*, std::weak_ptr<session>> sessions;
     bool stopped = false;
+    /// Numbers new connections and requests in their order.
+    std::atomic<std::uint64_t> uses{0};
     std::atomic<std::size_t> open{0};
     std::atomic<std::size_t> in_flight{0};
     /// Connections above the limit that are being told so.
--- a/libs/gateway/src/http_session.cpp
+++ b/libs/gateway/src/http_session.cpp
@@ -20,6 +20,7 @@
     : socket(std::move(s)),
       server(std::move(p)),
       timer(socket.get_executor()),
+      last_use(++server->uses),
       input(server->limits.header_bytes + server->limits.body_bytes)
 {
 }
@@ -72,6 +73,7 @@
     it->parser.reset();
     it->phase = session_phase::in_flight;
     ++it->exchange;
+    it->last_use = ++it->server->uses;
     ++it->server->in_flight;
     it->http_version = req.version();
     it->keep_alive = req.keep_alive();
@@ -245,6 +247,12 @@
     forget(it);
 }
 
+void close_for_another(const session_ptr& it)
+{
+    if (it->phase != session_phase::in_flight)
+        close_session(it);
+}
+
 exchange_number current_exchange(const session_ptr& it)
 {
     return it->exchange;
--- a/libs/gateway/src/http_session.hpp
+++ b/libs/gateway/src/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <optional>
@@ -39,6 +40,10 @@
     /// already queued has no effect.
     std::uint64_t timer_epoch = 0;
     session_phase phase = session_phase::idle;
+    /// Number of the connection or of its newest request.
+    std::atomic<std::uint64_t> last_use;
+    /// Being closed for another connection. Used by the server.
+    bool replaced = false;
     bool first_request = true;
     bool read_timed_out = false;
     bool continue_sent = false;
@@ -66,6 +71,8 @@
 /// next one has arrived.
 void close_if_idle(const session_ptr& it);
 void close_session(const session_ptr& it);
+/// Closes the connection unless it waits for a reply.
+void close_for_another(const session_ptr& it);
 
 /// Reads the next request; closes the connection if its first byte does not
 /// arrive within `timeout`.
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -120,6 +121,8 @@
 {
     session_number session = 0;
     answer reply;
+    /// Bytes of the session's values and prepared statements.
+    std::size_t stored_bytes = 0;
 };
 
 struct close_caller
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -91,6 +91,11 @@
     /// Maximum number of statements of one session that wait for an earlier
     /// one.
     std::size_t max_backlog = 16;
+    /// Maximum size of the values and prepared statements of one session. A
+    /// member connection that changes users is sent all of them at once.
+    std::size_t max_stored_bytes = std::size_t{2} * 1024 * 1024;
+    /// Longer shapes get member names that are not shared.
+    std::size_t max_shared_shape_bytes = 1024;
     /// Maximum number of prepared statement shapes whose member names are
     /// shared among callers.
     std::size_t max_shared_shapes = 4096;
@@ -169,6 +174,8 @@
     route active_route;
     std::map<std::string, std::string> values;
     std::map<std::string, prepared_statement> prepared;
+    /// Bytes of `values` and `prepared`.
+    std::size_t stored_bytes = 0;
     transaction tx;
     std::optional<pending_statement> current;
     std::deque<query> backlog;
--- a/libs/stream/include/godwitbarrow/stream/connection.hpp
+++ b/libs/stream/include/godwitbarrow/stream/connection.hpp
@@ -90,6 +90,10 @@
 /// Closes the connection once everything is sent.
 void close_after_sending(const connection_ptr& it);
 
+/// Breaks the connection as an error does: `closed` is called, unless the
+/// connection was being closed.
+void abort(const connection_ptr& it, const std::string& reason);
+
 /// Closes the connection at once. No handler is called any more.
 void close(const connection_ptr& it);
 
--- a/libs/stream/src/connection.cpp
+++ b/libs/stream/src/connection.cpp
@@ -132,7 +132,8 @@
 bool is_blocked(const connection& it)
 {
     const auto limit = it.within.read_pause_bytes;
-    return it.paused || (limit > 0 && unread_by_peer(it) > limit);
+    return it.paused || it.abandoned ||
+           (limit > 0 && unread_by_peer(it) > limit);
 }
 
 /// Publishes the progress and tells how much memory is held.
@@ -232,7 +233,7 @@
     it->input.reserve(it->filled + room);
     it->input.resize(it->filled + room);
     note_progress(it);
-    return !it->closed;
+    return !it->closed && !it->abandoned;
 }
 
 void read_some(const connection_ptr& it)
@@ -432,9 +433,15 @@
                    });
 }
 
-void close(const connection_ptr& it)
+void abort(const connection_ptr& it, const std::string& reason)
 {
     // Bytes that have arrived are not kept, though the strand may be busy.
+    it->abandoned = true;
+    asio::post(it->strand, [it, reason] { detail::fail(it, reason); });
+}
+
+void close(const connection_ptr& it)
+{
     it->abandoned = true;
     asio::dispatch(it->strand,
                    [it]
--- a/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
+++ b/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
@@ -69,6 +69,13 @@
 void set_gateway_load(metrics& to, std::size_t in_flight,
                       std::size_t connections);
 
+/// Counts a caller whose connection was closed for a limit, for example
+/// "memory".
+void count_closed_caller(metrics& to, std::string_view reason);
+
+/// Open connections of callers and the memory that they hold.
+void set_caller_load(metrics& to, std::size_t connections, std::size_t bytes);
+
 /// Prometheus text format 0.0.4, for /metrics.
 std::string expose(const metrics& of);
 
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -46,6 +46,8 @@
     prometheus::Gauge* connections = nullptr;
     detail::counter_family* failover_steps = nullptr;
     detail::counter_family* store_errors = nullptr;
+    detail::counter_family* closed_callers = nullptr;
+    prometheus::Gauge* caller_bytes = nullptr;
     detail::gauge_family* queue_length = nullptr;
     /// Keeps a gauge of `queue_length` alive while it is set.
     core::ordered_mutex<core::lock_level::metrics> queue_mutex;
@@ -138,6 +140,8 @@
                              "Requests of callers without an answer");
     it.connections = add_gauge(it, "godwitbarrow_caller_connections",
                                "Open connections of callers");
+    it.caller_bytes = add_gauge(it, "godwitbarrow_caller_held_bytes",
+                                "Memory that connections of callers hold");
 }
 
 void add_labelled_metrics(metrics& it)
@@ -148,6 +152,10 @@
     it.store_errors = &family(it.registry, prometheus::BuildCounter,
                               "godwitbarrow_store_errors_total",
                               "Failed calls to the platform by operation");
+    it.closed_callers =
+        &family(it.registry, prometheus::BuildCounter,
+                "godwitbarrow_closed_callers_total",
+                "Connections of callers closed for a limit, by reason");
     it.queue_length = &family(
         it.registry, prometheus::BuildGauge, "godwitbarrow_queue_length",
         "Requests that wait for a slot, by server and rank");
@@ -254,6 +262,17 @@
     to.store_errors->Add({{"operation", detail::text(operation)}}).Increment();
 }
 
+void count_closed_caller(metrics& to, std::string_view reason)
+{
+    to.closed_callers->Add({{"reason", detail::text(reason)}}).Increment();
+}
+
+void set_caller_load(metrics& to, std::size_t connections, std::size_t bytes)
+{
+    to.connections->Set(static_cast<double>(connections));
+    to.caller_bytes->Set(static_cast<double>(bytes));
+}
+
 void count_retry(metrics& to, core::rank importance)
 {
     to.retries[core::index_of(importance)]->Increment();
