--- a/libs/gateway/test/admin_test.cpp
+++ b/libs/gateway/test/admin_test.cpp
@@ -1,6 +1,8 @@
 #include "godwitbarrow/gateway/admin.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <vector>
 
 #include "http_client.hpp"
 
@@ -82,4 +84,17 @@
     BOOST_TEST(field(got, "error") == "internal");
 }
 
+// Guards against connections that send half a request and shut out the probes
+// of the balancer.
+BOOST_AUTO_TEST_CASE(half_requests_make_room_for_a_whole_one)
+{
+    std::vector<std::unique_ptr<client>> crowd;
+    for (int n = 0; n < 100; ++n)
+    {
+        crowd.push_back(std::make_unique<client>(local_endpoint(server)));
+        crowd.back()->send("GET /healthz HTTP/1.1\r\nHost:");
+    }
+    BOOST_TEST(ask(get("/healthz")).result_int() == 503U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libs/pooler/test/fixture.hpp
+++ b/libs/pooler/test/fixture.hpp
@@ -176,6 +176,8 @@
                 return "timed out";
             case failure_code::malformed:
                 return "malformed";
+            case failure_code::too_large:
+                return "too large";
             case failure_code::read_only:
                 return "read only";
             default:
--- a/libs/pooler/test/session_values_test.cpp
+++ b/libs/pooler/test/session_values_test.cpp
@@ -42,6 +42,28 @@
     BOOST_TEST((second.statements.front().stmt.kind == verb::reset));
 }
 
+// Guards against a session whose values fill the memory of the host, and break
+// each member connection that they are sent on.
+BOOST_FIXTURE_TEST_CASE(stores_a_limited_size, pooler_fixture)
+{
+    start(1, "newest");
+    const std::string large(1000 * 1000, 'x');
+    query(1, verb::set, large, "a");
+    BOOST_TEST(outcome(1) == "success");
+    query(1, verb::prepare, large, "s1", true);
+    BOOST_TEST(outcome(1) == "success");
+    query(1, verb::set, large, "b");
+    BOOST_TEST(outcome(1) == "too large");
+    query(1, verb::set, large, "a");
+    BOOST_TEST(outcome(1) == "success");
+    query(1, verb::deallocate, "", "s1");
+    BOOST_TEST(outcome(1) == "success");
+    query(1, verb::set, large, "b");
+    BOOST_TEST(outcome(1) == "success");
+    query(1, verb::prepare, large, "s1", true);
+    BOOST_TEST(outcome(1) == "too large");
+}
+
 BOOST_FIXTURE_TEST_CASE(does_not_conflict_with_names_of_other_callers,
                         pooler_fixture)
 {
--- a/test/pooled/host_settings_test.cpp
+++ b/test/pooled/host_settings_test.cpp
@@ -62,6 +62,18 @@
     BOOST_TEST((it.leaving_limit == 7s));
 }
 
+BOOST_AUTO_TEST_CASE(limit_callers_to_times_of_the_file)
+{
+    const auto given = parse_host_settings(
+        with("[store]", "[callers]\nmessage_time = 7s\n[store]"));
+    BOOST_REQUIRE(ok(given));
+    const auto& it = std::get<host_settings>(given);
+    BOOST_TEST((it.caller_message_time == 7s));
+    BOOST_TEST((it.caller_startup_time == 10s));
+    BOOST_TEST(error_of(with("[store]", "[callers]\nanswer_time = 7\n[store]"))
+                   .find("callers.answer_time") == 0U);
+}
+
 // Guards against a host that does not start because its platform lacks a
 // setting of the template and leaves the placeholder in place.
 BOOST_AUTO_TEST_CASE(take_an_unfilled_placeholder_for_a_missing_key)
