--- a/apps/proxy/src/pooled/relay_entry.cpp
+++ b/apps/proxy/src/pooled/relay_entry.cpp
@@ -1,5 +1,6 @@
 #include <mutex>
 
+#include "caller_guard.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "links.hpp"
 #include "owner_watch.hpp"
@@ -81,7 +82,7 @@
 }
 
 /// False if the session is not one that the host serves.
-bool note_answer(app& it, const core::host_id& from, const relay::item& what)
+bool record_answer(app& it, const core::host_id& from, const relay::item& what)
 {
     std::lock_guard lock(it.relays.mutex);
     const auto n = it.relays.outbound.find(what.session);
@@ -124,8 +125,12 @@
 
 void take_answer(app& it, const core::host_id& from, relay::item what)
 {
-    if (note_answer(it, from, what))
-        send_to_caller(it, what.session, std::move(what.bytes));
+    if (!record_answer(it, from, what))
+        return;
+    // The owner keeps the values of the session.
+    if (!what.more)
+        note_answer(it, what.session, 0, !what.idle);
+    send_to_caller(it, what.session, std::move(what.bytes));
 }
 
 void take_close(app& it, const core::host_id& from, const relay::item& what)
@@ -201,6 +206,7 @@
         disconnect_caller(it, session);
         return true;
     }
+    note_statement(it, session, line.size());
     detail::send_item(
         it, noted->owner,
         {relay::item_kind::line, session, std::string(line), false, false});
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -149,6 +150,8 @@
 {
     session_number session = 0;
     answer reply;
+    /// Bytes of the session's values and prepared statements.
+    std::size_t stored_bytes = 0;
 };
 
 struct close_caller
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -5,6 +5,7 @@
 #include "connections.hpp"
 #include "placement.hpp"
 #include "sending.hpp"
+#include "session_values.hpp"
 #include "shutdown.hpp"
 
 namespace godwitbarrow::pooler::detail
@@ -12,53 +13,11 @@
 namespace
 {
 
-constexpr std::size_t max_session_values = 64;
-constexpr std::size_t max_prepared_per_session = 256;
-
 failure malformed(std::string why)
 {
     return {failure_code::malformed, std::move(why)};
 }
 
-/// Returns the name of the statement on members, shared by all sessions.
-std::string member_name_of(state& all, const statement& what)
-{
-    const auto key = (what.writes ? "w " : "r ") + what.text;
-    const auto it = all.shapes.find(key);
-    if (it != all.shapes.end())
-        return it->second;
-    auto name = "p" + std::to_string(++all.last_shape);
-    if (all.shapes.size() >= all.settings.max_shared_shapes)
-        return name;
-    return all.shapes.emplace(key, std::move(name)).first->second;
-}
-
-statement_result set_value(caller_session& s, const statement& what)
-{
-    if (s.values.size() >= max_session_values && s.values.count(what.name) == 0)
-        return failure{failure_code::too_large,
-                       "too many session values; use fewer names"};
-    s.values[what.name] = what.text;
-    return success{};
-}
-
-statement_result prepare(state& all, caller_session& s, const statement& what)
-{
-    const bool known = s.prepared.count(what.name) > 0;
-    if (s.prepared.size() >= max_prepared_per_session && !known)
-        return failure{failure_code::too_large,
-                       "too many prepared statements; deallocate some"};
-    s.prepared[what.name] = {what.text, what.writes, member_name_of(all, what)};
-    return success{};
-}
-
-statement_result deallocate(caller_session& s, const statement& what)
-{
-    if (s.prepared.erase(what.name) == 0)
-        return failure{failure_code::unknown_statement, what.name};
-    return success{};
-}
-
 statement_result begin(context& ctx, caller_session& s, const statement& what)
 {
     if (s.tx.phase != transaction_phase::none)
@@ -129,7 +88,7 @@
     switch (what.kind)
     {
         case verb::set:
-            return answer_locally(ctx, number, set_value(s, what));
+            return answer_locally(ctx, number, set_value(ctx.pooler, s, what));
         case verb::prepare:
             return answer_locally(ctx, number, prepare(ctx.pooler, s, what));
         case verb::deallocate:
@@ -304,7 +263,7 @@
     s.idle_since = ctx.now;
     if (s.disconnected)
         return erase_session(ctx, number);
-    ctx.out.push_back(reply_to_caller{number, std::move(what)});
+    ctx.out.push_back(reply_to_caller{number, std::move(what), s.stored_bytes});
     next_statement(ctx, number);
 }
 
