Serve workspaces by key and limit them to their quotas

A caller's key names its workspace; the name goes to members, whose connections serve one workspace each. Unknown and withdrawn keys are refused.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -18,6 +18,7 @@
 #include "godwitbarrow/telemetry/metrics.hpp"
 #include "host_settings.hpp"
 #include "mesh_table.hpp"
+#include "quota_table.hpp"
 
 /// The pooler as a process: connections, timers and the store around the
 /// decisions of `pooler`.
@@ -88,6 +89,7 @@
     link_table links;
     takeover_table takeovers;
     mesh_table mesh;
+    quota_table quotas;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/callers.cpp
+++ b/apps/proxy/src/pooled/callers.cpp
@@ -75,7 +75,8 @@
         return disconnect(it, session);
     started = true;
     if (first)
-        return handle(it, pooler::caller_started{session, first->database});
+        return handle(
+            it, pooler::caller_started{session, first->database, first->key});
     handle(it, pooler::caller_query{
                    session, std::get<pooler::query>(std::move(*message))});
 }
@@ -170,6 +171,7 @@
     const auto c = detail::take_caller(it, what.session);
     if (!c)
         return;
+    telemetry::count_refusal(*it.metrics, pooler::to_string(what.reason.code));
     stream::send(c, platform::encode_refusal(what.reason));
     detail::close_when_sent(it, c);
 }
--- a/apps/proxy/src/pooled/member_question.cpp
+++ b/apps/proxy/src/pooled/member_question.cpp
@@ -119,8 +119,8 @@
     const auto q =
         std::make_shared<detail::question>(boost::asio::make_strand(it.io));
     q->handler = std::move(handler);
-    q->first =
-        platform::encode_startup(member.group, member.server, it.settings.name);
+    q->first = platform::encode_startup(member.group, member.server,
+                                        it.settings.name.value);
     if (commands.pause_at)
     {
         q->then = platform::encode_pause(*commands.pause_at);
--- a/apps/proxy/src/pooled/members.cpp
+++ b/apps/proxy/src/pooled/members.cpp
@@ -83,11 +83,14 @@
     {
         detail::lose(it, number, detail::refusal_in(*from), reason);
     };
-    auto connected = [&it, number, group = what.group, server = what.server]
+    auto hello = platform::encode_startup(what.group, what.server,
+                                          what.workspace.value.empty()
+                                              ? it.settings.name.value
+                                              : what.workspace.value);
+    auto connected = [&it, number, hello = std::move(hello)]
     {
         if (const auto c = detail::find_member(it, number))
-            stream::send(
-                c, platform::encode_startup(group, server, it.settings.name));
+            stream::send(c, hello);
     };
     // Another worker may call `connected` before this function ends. It finds
     // the connection only once this lock is released.
--- a/apps/proxy/src/pooled/mesh.cpp
+++ b/apps/proxy/src/pooled/mesh.cpp
@@ -225,6 +225,7 @@
 {
     {
         std::lock_guard lock(it.mesh.mutex);
+        it.mesh.listed = true;
         it.mesh.hosts.clear();
         for (auto& host : all)
             if (host.host != it.settings.name)
@@ -233,6 +234,12 @@
     detail::open_wanted(it);
 }
 
+bool hosts_listed(const app& it)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    return it.mesh.listed;
+}
+
 std::vector<hosts::peer_host> other_hosts(const app& it)
 {
     std::vector<hosts::peer_host> out;
--- a/apps/proxy/src/pooled/mesh.hpp
+++ b/apps/proxy/src/pooled/mesh.hpp
@@ -24,6 +24,9 @@
 /// listed stay open until they break.
 void set_hosts(app& it, std::vector<hosts::peer_host> all);
 
+/// Whether `set_hosts` was called since the start.
+bool hosts_listed(const app& it);
+
 /// The other live hosts by name, without this one.
 std::vector<hosts::peer_host> other_hosts(const app& it);
 
--- a/apps/proxy/src/pooled/mesh_table.hpp
+++ b/apps/proxy/src/pooled/mesh_table.hpp
@@ -29,6 +29,8 @@
 {
     mutable core::ordered_mutex<core::lock_level::peers> mutex;
     std::map<core::host_id, hosts::peer_host> hosts;
+    /// Whether the hosts were listed since the start.
+    bool listed = false;
     std::map<core::host_id, mesh_peer> peers;
     std::map<peer::topic, std::set<core::host_id>> wanted;
     /// Who is behind each link that has said so.
--- a/apps/proxy/src/pooled/reports.cpp
+++ b/apps/proxy/src/pooled/reports.cpp
@@ -69,6 +69,8 @@
                                 what.reason == "failed"
                             ? request_result::unknown
                             : request_result::not_run;
+    if (!what.succeeded)
+        telemetry::count_refusal(*it.metrics, what.reason);
     telemetry::count_request(*it.metrics, what.importance, result, what.took);
 }
 
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -13,6 +13,7 @@
 #include "host_census.hpp"
 #include "links.hpp"
 #include "mesh.hpp"
+#include "quotas.hpp"
 #include "store_watch.hpp"
 #include "takeovers.hpp"
 
@@ -96,6 +97,7 @@
     to.data_centre = from.data_centre;
     to.leaving_primary_limit =
         std::min(to.leaving_primary_limit, from.leaving_limit / 2);
+    to.limits_workspaces = from.quota_window.count() > 0;
     to.shutdown_transactions = from.grace / 2;
     to.shutdown_notice = std::min(balancer_delay, from.grace / 2);
     to.shutdown_limit =
@@ -151,6 +153,7 @@
     auto http = detail::start_http(it);
     if (!ok(http))
         return http;
+    start_quotas(it);
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
--- a/libs/core/include/godwitbarrow/core/names.hpp
+++ b/libs/core/include/godwitbarrow/core/names.hpp
@@ -41,6 +41,8 @@
 using host_id = name<struct host_tag>;
 using data_centre_id = name<struct data_centre_tag>;
 using region_id = name<struct region_tag>;
+/// A customer whose callers share keys and a quota.
+using workspace_id = name<struct workspace_tag>;
 using request_id = name<struct request_tag>;
 using idempotency_key = name<struct idempotency_tag>;
 /// "host/number": the host is the server owner that holds the connection.
--- a/libs/pooler/include/godwitbarrow/pooler/configuration.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/configuration.hpp
@@ -9,6 +9,7 @@
 #include "godwitbarrow/core/names.hpp"
 #include "godwitbarrow/core/position.hpp"
 #include "godwitbarrow/core/request.hpp"
+#include "godwitbarrow/workspaces/directory.hpp"
 
 /// Configuration set by the operator and registrations of backend servers.
 namespace godwitbarrow::pooler
@@ -37,6 +38,8 @@
     /// Latency objective of a whole operation.
     std::chrono::milliseconds objective{0};
     core::rank importance = core::rank::deferred;
+    /// Whether callers without a valid key are admitted.
+    bool open = false;
 };
 
 struct group_settings
@@ -55,6 +58,7 @@
     std::map<core::group_id, group_settings> groups;
     /// A transaction that is idle for longer may be rolled back.
     std::chrono::milliseconds transaction_idle{0};
+    workspaces::directory workspaces;
 };
 
 /// A backend server as it registered itself.
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -9,6 +9,7 @@
 
 #include "godwitbarrow/pooler/configuration.hpp"
 #include "godwitbarrow/pooler/statement.hpp"
+#include "godwitbarrow/workspaces/keys.hpp"
 
 /// Input events and output actions of the pooler.
 namespace godwitbarrow::pooler
@@ -22,6 +23,7 @@
 {
     session_number session = 0;
     std::string database;
+    std::optional<workspaces::key_hash> key = std::nullopt;
 };
 
 struct caller_query
@@ -89,6 +91,16 @@
     std::size_t live = 1;
 };
 
+/// The answer to `borrow_operations` of the same round.
+struct operations_lent
+{
+    core::workspace_id workspace;
+    std::uint64_t round = 0;
+    std::uint32_t count = 0;
+    /// If fewer than wanted were lent: time until there are more.
+    std::chrono::milliseconds retry_after{0};
+};
+
 /// Periodic event that expires queued statements and overdue members.
 struct timer_tick
 {
@@ -98,11 +110,12 @@
 {
 };
 
-using event = std::variant<caller_started, caller_query, caller_disconnected,
-                           member_connected, member_answered,
-                           member_connection_lost, configuration_changed,
-                           members_changed, primary_confirmed, primary_revoked,
-                           host_count_changed, timer_tick, shutdown_started>;
+using event =
+    std::variant<caller_started, caller_query, caller_disconnected,
+                 member_connected, member_answered, member_connection_lost,
+                 configuration_changed, members_changed, primary_confirmed,
+                 primary_revoked, host_count_changed, operations_lent,
+                 timer_tick, shutdown_started>;
 
 struct accept_caller
 {
@@ -133,6 +146,9 @@
     core::group_id group;
     core::server_id server;
     core::endpoint address;
+    /// The workspace that the connection works for; empty if callers need no
+    /// key.
+    core::workspace_id workspace;
 };
 
 /// Statements for the member to execute in order.
@@ -147,6 +163,14 @@
     connection_number connection = 0;
 };
 
+/// Asks the lender of the workspace for operations of its quota.
+struct borrow_operations
+{
+    core::workspace_id workspace;
+    std::uint64_t round = 0;
+    std::uint32_t wanted = 0;
+};
+
 /// A log entry: a request that was refused or failed, or a change of the state
 /// that this host assumes of a member or of its configuration.
 struct decision_note
@@ -176,9 +200,10 @@
     std::chrono::nanoseconds waited{0};
 };
 
-using action = std::variant<accept_caller, refuse_caller, reply_to_caller,
-                            close_caller, open_connection, send_to_member,
-                            close_connection, decision_note, statement_ended>;
+using action =
+    std::variant<accept_caller, refuse_caller, reply_to_caller, close_caller,
+                 open_connection, send_to_member, close_connection,
+                 borrow_operations, decision_note, statement_ended>;
 using actions = std::vector<action>;
 
 }  // namespace godwitbarrow::pooler
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -53,6 +53,13 @@
     /// gap between events means that the host itself was stalled; durations
     /// that started before the stall are not attributed to members.
     std::chrono::milliseconds stall_limit{150};
+    /// Whether the quotas of workspaces are in force.
+    bool limits_workspaces = false;
+    /// A lender that has not answered for this long is asked once more. What it
+    /// lends ends not much later.
+    std::chrono::milliseconds lender_timeout{300};
+    /// A statement waits this long for an operation of the quota.
+    std::chrono::milliseconds quota_wait{600};
     /// Maximum number of dispatches of a statement that no member has executed.
     unsigned max_attempts = 6;
     /// Subtracted from the data age that a route allows, to account for the
@@ -150,6 +157,8 @@
     std::optional<core::time_point> sent;
     /// Whether only the primary may execute it.
     bool primary_only = false;
+    /// Whether it waits for an operation of the quota of its workspace.
+    bool awaits_quota = false;
     /// Whether it is in a queue of its group.
     bool queued = false;
     /// Whether it occupies a slot of the queue that it was taken from.
@@ -165,6 +174,9 @@
 struct caller_session
 {
     std::string database;
+    std::optional<workspaces::key_hash> key;
+    /// The workspace that the session works for, as of its last statement.
+    core::workspace_id workspace;
     /// Route of the current transaction, or of the last statement.
     route active_route;
     std::map<std::string, std::string> values;
@@ -208,6 +220,8 @@
 {
     core::group_id group;
     core::server_id server;
+    /// A connection works for one workspace, whose name the member was told.
+    core::workspace_id workspace;
     connection_phase phase = connection_phase::opening;
     core::time_point phase_since;
     session_number user = 0;
@@ -283,6 +297,19 @@
     admission::queue_state read_queue;
 };
 
+/// Operations that this host borrows of the quota of one workspace.
+struct borrowing
+{
+    /// Sessions whose statement waits for an operation, in order of arrival.
+    std::deque<session_number> waiting;
+    /// Time and number of the request that is not answered yet.
+    std::optional<core::time_point> asked;
+    std::uint64_t round = 0;
+    std::uint32_t wanted = 0;
+    /// The lender has no more operations until then.
+    core::time_point exhausted_until{};
+};
+
 struct state
 {
     pooler_settings settings;
@@ -292,6 +319,7 @@
     std::unordered_map<session_number, caller_session> sessions;
     std::unordered_map<connection_number, backend_connection> connections;
     connection_number last_connection = 0;
+    std::map<core::workspace_id, borrowing> borrowings;
     /// Names of prepared statements on members, keyed by access mode and shape.
     /// Callers choose the shapes, so their number is bounded; a statement
     /// beyond the bound gets a name that is not shared.
--- a/libs/pooler/include/godwitbarrow/pooler/statement.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/statement.hpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -64,6 +65,10 @@
     timed_out,
     unknown_statement,
     unknown_database,
+    /// The key of the caller is not valid.
+    not_admitted,
+    /// The quota of the workspace is reached; nothing was run.
+    over_quota,
     malformed,
     too_large,
     /// The operation had no effect.
@@ -72,6 +77,9 @@
     in_doubt
 };
 
+/// Name of the code in logs and metrics.
+std::string_view to_string(failure_code it);
+
 struct failure
 {
     failure_code code = failure_code::failed;
--- a/libs/pooler/src/connections.cpp
+++ b/libs/pooler/src/connections.cpp
@@ -66,7 +66,7 @@
     for (const auto number : m.connections)
     {
         const auto& c = all.connections.at(number);
-        if (c.phase != connection_phase::idle)
+        if (c.phase != connection_phase::idle || c.workspace != s.workspace)
             continue;
         const auto cost = cost_of(c, s);
         if (best != 0 && cost >= best_cost)
@@ -86,12 +86,48 @@
            is_revoked(g->second, c.server, ctx.pooler.settings, ctx.now);
 }
 
-void open_within_limits(context& ctx, group& g, member& m)
+namespace
+{
+
+/// Returns the idle connection of another workspace that was not used for the
+/// longest time; 0 if there is none.
+connection_number least_recently_used(const state& all, const member& m,
+                                      const core::workspace_id& except)
+{
+    connection_number oldest = 0;
+    for (const auto number : m.connections)
+    {
+        const auto& c = all.connections.at(number);
+        if (c.phase != connection_phase::idle || c.workspace == except)
+            continue;
+        if (oldest == 0 ||
+            c.phase_since < all.connections.at(oldest).phase_since)
+            oldest = number;
+    }
+    return oldest;
+}
+
+/// Closes a connection of another workspace if the limit is reached. Returns
+/// whether one more may be opened.
+bool make_room(context& ctx, const group& g, member& m,
+               const core::workspace_id& workspace)
+{
+    const auto limit = connection_limit(ctx.pooler, g);
+    if (m.connections.size() < limit)
+        return true;
+    const auto unused = least_recently_used(ctx.pooler, m, workspace);
+    if (unused != 0)
+        drop_connection(ctx, unused);
+    return m.connections.size() < limit;
+}
+
+}  // namespace
+
+bool open_within_limits(context& ctx, group& g, member& m,
+                        const core::workspace_id& workspace)
 {
-    if (m.connections.size() >= connection_limit(ctx.pooler, g))
-        return;
     if (m.reopen_after && *m.reopen_after > ctx.now)
-        return;
+        return false;
     const auto opening =
         std::count_if(m.connections.begin(), m.connections.end(),
                       [&](connection_number n) {
@@ -102,16 +138,20 @@
                          admission::waiting_count(g.read_queue);
     if (static_cast<std::size_t>(opening) >=
         std::min(ctx.pooler.settings.max_concurrent_opens, waiting))
-        return;
+        return false;
+    if (!make_room(ctx, g, m, workspace))
+        return false;
     const auto number = ++ctx.pooler.last_connection;
     backend_connection c;
     c.group = m.record.group;
     c.server = m.record.server;
+    c.workspace = workspace;
     c.phase_since = ctx.now;
     ctx.pooler.connections.emplace(number, std::move(c));
     m.connections.insert(number);
     ctx.out.push_back(open_connection{number, m.record.group, m.record.server,
-                                      m.record.address});
+                                      m.record.address, workspace});
+    return true;
 }
 
 void remove_connection(context& ctx, connection_number number)
--- a/libs/pooler/src/connections.hpp
+++ b/libs/pooler/src/connections.hpp
@@ -11,17 +11,20 @@
 /// Number of statements that this host runs concurrently on one member.
 std::size_t running_limit(const state& all, const member& m);
 
-/// Returns an idle connection of the member, preferring one that already has
-/// the session's values; 0 if there is none.
+/// Returns an idle connection of the member for the session's workspace,
+/// preferring one that already has the session's values; 0 if there is none.
 connection_number pick_idle(const state& all, const member& m,
                             const caller_session& s);
 
 /// Whether the connection leads to a primary that must not be used any more.
 bool is_on_revoked_primary(const context& ctx, const backend_connection& c);
 
-/// Opens a connection if the limits allow it and fewer connections are being
-/// opened than statements are queued.
-void open_within_limits(context& ctx, group& g, member& m);
+/// Opens a connection for the workspace if the limits allow it and fewer
+/// connections are being opened than statements are queued. At the limit, the
+/// least recently used idle connection of another workspace is closed for it.
+/// Returns whether it was opened.
+bool open_within_limits(context& ctx, group& g, member& m,
+                        const core::workspace_id& workspace);
 
 /// Closes the connection and removes it from the state.
 void drop_connection(context& ctx, connection_number number);
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -8,6 +8,7 @@
 #include "freshness.hpp"
 #include "godwitbarrow/routing/owner.hpp"
 #include "placement.hpp"
+#include "quotas.hpp"
 #include "sessions.hpp"
 
 namespace godwitbarrow::pooler
@@ -15,40 +16,6 @@
 namespace detail
 {
 
-std::string_view to_string(failure_code it)
-{
-    switch (it)
-    {
-        case failure_code::busy:
-            return "busy";
-        case failure_code::lagging:
-            return "lagging";
-        case failure_code::read_only:
-            return "read_only";
-        case failure_code::misrouted:
-            return "misrouted";
-        case failure_code::too_many_connections:
-            return "too_many_connections";
-        case failure_code::failed:
-            return "failed";
-        case failure_code::timed_out:
-            return "timed_out";
-        case failure_code::unknown_statement:
-            return "unknown_statement";
-        case failure_code::unknown_database:
-            return "unknown_database";
-        case failure_code::malformed:
-            return "malformed";
-        case failure_code::too_large:
-            return "too_large";
-        case failure_code::aborted:
-            return "aborted";
-        case failure_code::in_doubt:
-            return "in_doubt";
-    }
-    return "failed";
-}
-
 namespace
 {
 
@@ -234,6 +201,10 @@
     {
         ctx.pooler.live_hosts = std::max<std::size_t>(it.live, 1);
     }
+    void operator()(const operations_lent& it) const
+    {
+        handle_lent(ctx, it);
+    }
     void operator()(const timer_tick&) const
     {
         expire(ctx);
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -7,6 +7,7 @@
 #include "answers.hpp"
 #include "connections.hpp"
 #include "placement.hpp"
+#include "quotas.hpp"
 #include "sending.hpp"
 #include "sessions.hpp"
 #include "shutdown.hpp"
@@ -142,6 +143,7 @@
         expire_waiting(ctx, g.primary_queue);
         expire_waiting(ctx, g.read_queue);
     }
+    expire_borrowing(ctx);
     expire_running(ctx);
     expire_connections(ctx);
     expire_sessions(ctx);
--- a/libs/pooler/src/output.hpp
+++ b/libs/pooler/src/output.hpp
@@ -28,6 +28,4 @@
 
 session_state state_of(const caller_session& it);
 
-std::string_view to_string(failure_code it);
-
 }  // namespace godwitbarrow::pooler::detail
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "placement.hpp"
 
 #include <algorithm>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -144,12 +145,46 @@
     return {*primary};
 }
 
-/// Selects an idle connection for the statement. If the best available member
-/// has none, a connection to it is opened for later statements.
+/// A statement that finds no idle connection of its workspace.
+struct unmet_request
+{
+    core::workspace_id workspace;
+    /// Members that may run the statement, best first.
+    std::vector<core::server_id> servers;
+};
+
+/// Opens a connection to the best member that allows one. One that is being
+/// opened for the workspace and not in `expected` is awaited instead.
+void open_for(context& ctx, group& g, const unmet_request& request,
+              std::set<connection_number>& expected)
+{
+    for (const auto& id : request.servers)
+        for (const auto number : g.members.at(id).connections)
+        {
+            const auto& c = ctx.pooler.connections.at(number);
+            if (c.phase == connection_phase::opening &&
+                c.workspace == request.workspace &&
+                expected.insert(number).second)
+                return;
+        }
+    for (const auto& id : request.servers)
+        if (open_within_limits(ctx, g, g.members.at(id), request.workspace))
+        {
+            expected.insert(ctx.pooler.last_connection);
+            return;
+        }
+}
+
+/// Selects an idle connection for the statement. If there is none, adds the
+/// members to which one could be opened to `unmet`. Callers without a workspace
+/// share all connections, so one to the best available member is opened at once
+/// for later statements.
 std::optional<assignment> find_assignment(context& ctx, group& g,
-                                          const caller_session& s)
+                                          const caller_session& s,
+                                          std::vector<unmet_request>& unmet)
 {
-    bool opened = false;
+    unmet_request request{s.workspace, {}};
+    const bool shared = s.workspace.value.empty();
     for (const auto& id : candidates(ctx, g, s))
     {
         auto& m = g.members.at(id);
@@ -160,10 +195,12 @@
         const auto number = pick_idle(ctx.pooler, m, s);
         if (number != 0)
             return assignment{id, number};
-        if (!opened)
-            open_within_limits(ctx, g, m);
-        opened = true;
+        if (shared && request.servers.empty())
+            open_within_limits(ctx, g, m, s.workspace);
+        request.servers.push_back(id);
     }
+    if (!shared && !request.servers.empty())
+        unmet.push_back(std::move(request));
     return std::nullopt;
 }
 
@@ -185,26 +222,38 @@
     send_first(ctx, g, number);
 }
 
+/// Opens connections for statements of workspaces, in the order of the queue.
+void open_for_all(context& ctx, group& g,
+                  const std::vector<unmet_request>& unmet)
+{
+    std::set<connection_number> expected;
+    for (const auto& request : unmet)
+        open_for(ctx, g, request, expected);
+}
+
 void dispatch_queue(context& ctx, group& g, admission::queue_state& queue)
 {
     const auto limits = queue_limits();
     while (admission::waiting_count(queue) > 0)
     {
         std::optional<assignment> chosen;
+        std::vector<unmet_request> unmet;
         // Entries of one session key and policy differ in the members that may
         // run them, so a later entry can be ready when the first is not.
         const auto ready = [&](const admission::queue_entry& entry)
         {
             const auto& s = ctx.pooler.sessions.at(session_of(entry));
-            chosen = find_assignment(ctx, g, s);
+            chosen = find_assignment(ctx, g, s, unmet);
             return chosen.has_value();
         };
         const auto next = admission::dequeue_next(queue, limits, ready);
+        // Only once no statement can start, so that none loses its connection
+        // to one that is opened for another.
         if (!next)
-            return;
+            return open_for_all(ctx, g, unmet);
         const auto number = session_of(*next);
         // The last entry that `ready` examined need not be the one taken.
-        chosen = find_assignment(ctx, g, ctx.pooler.sessions.at(number));
+        chosen = find_assignment(ctx, g, ctx.pooler.sessions.at(number), unmet);
         if (!chosen)
             return;
         start_statement(ctx, g, number, *chosen);
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -4,6 +4,7 @@
 
 #include "connections.hpp"
 #include "placement.hpp"
+#include "quotas.hpp"
 #include "sending.hpp"
 #include "shutdown.hpp"
 
@@ -118,7 +119,7 @@
         return send_on_held(ctx, number);
     p.primary_only = writes || s.active_route.reads == read_policy::newest ||
                      (in_transaction && !s.tx.read_only);
-    queue_statement(ctx, number);
+    start_operation(ctx, number);
 }
 
 void run_statement(context& ctx, session_number number, caller_session& s)
@@ -179,6 +180,35 @@
     return true;
 }
 
+/// Applies the workspace that the configuration gives the key of the session.
+/// Returns false if the session is not admitted any more, or if an open
+/// transaction belongs to another workspace.
+bool update_workspace(const state& all, caller_session& s)
+{
+    if (s.tx.phase == transaction_phase::failed)
+        return true;
+    const auto found = workspaces::find_workspace(
+        all.active_configuration.workspaces, s.key, s.active_route.open);
+    const bool in_transaction = s.tx.phase != transaction_phase::none;
+    if (!found || (in_transaction && *found != s.workspace))
+        return false;
+    s.workspace = *found;
+    return true;
+}
+
+/// Refuses the statement of a session whose key is not valid any more. The
+/// transaction is rolled back first; the session ends with the statement after
+/// it.
+void refuse_withdrawn(context& ctx, session_number number)
+{
+    constexpr auto reason = "the key of the caller was withdrawn";
+    if (ctx.pooler.sessions.at(number).tx.phase != transaction_phase::none)
+        return fail_statement(ctx, number, failure_code::aborted, reason);
+    fail_statement(ctx, number, failure_code::not_admitted, reason);
+    if (ctx.pooler.sessions.count(number) > 0)
+        close_session(ctx, number);
+}
+
 /// Refuses the statement because of a shutdown. A caller outside a transaction
 /// is disconnected, so that it reconnects through another host: at once if it
 /// asked for a transaction or the process exits soon, else once it pauses, so
@@ -213,6 +243,8 @@
     if (configured && !routed)
         return answer_locally(
             ctx, number, failure{failure_code::unknown_database, s.database});
+    if (configured && !update_workspace(ctx.pooler, s))
+        return refuse_withdrawn(ctx, number);
     s.current->deadline = ctx.now + s.active_route.statement_timeout;
     limit_to_shutdown(ctx, *s.current);
     ctx.pooler.active_sessions.insert(number);
@@ -277,6 +309,12 @@
     return note;
 }
 
+void refuse_start(context& ctx, session_number number, failure_code code,
+                  std::string reason)
+{
+    ctx.out.push_back(refuse_caller{number, {code, std::move(reason)}});
+}
+
 }  // namespace
 
 session_state state_of(const caller_session& it)
@@ -341,15 +379,17 @@
 {
     caller_session s;
     s.database = what.database;
+    s.key = what.key;
     s.idle_since = ctx.now;
-    // Before the first configuration arrives, no database is known, so the
-    // session is accepted.
-    if (is_configured(ctx.pooler) && !update_route(ctx.pooler, s))
-    {
-        ctx.out.push_back(refuse_caller{
-            what.session, {failure_code::unknown_database, what.database}});
-        return;
-    }
+    // Before the first configuration arrives, no database and no key is known,
+    // so the session is accepted. Its first statement is checked.
+    const bool configured = is_configured(ctx.pooler);
+    if (configured && !update_route(ctx.pooler, s))
+        return refuse_start(ctx, what.session, failure_code::unknown_database,
+                            what.database);
+    if (configured && !update_workspace(ctx.pooler, s))
+        return refuse_start(ctx, what.session, failure_code::not_admitted,
+                            "the key is not valid; ask the operator for one");
     ctx.pooler.sessions.emplace(what.session, std::move(s));
     ctx.out.push_back(accept_caller{what.session});
 }
@@ -375,6 +415,12 @@
     s.backlog.clear();
     if (!s.current)
         return erase_session(ctx, number);
+    if (s.current->awaits_quota)
+    {
+        stop_waiting_for_quota(ctx, number);
+        return fail_statement(ctx, number, failure_code::busy,
+                              "caller disconnected");
+    }
     if (s.current->queued)
         return fail_queued(ctx, number, "caller disconnected");
     // A statement that is already running on a member is left to complete.
--- a/libs/pooler/test/sim/fleet.cpp
+++ b/libs/pooler/test/sim/fleet.cpp
@@ -219,6 +219,8 @@
                 a.message + " " + a.request.value + ": " + a.detail;
     }
     void operator()(const statement_ended&) const {}
+    /// The simulated deployment has no quotas.
+    void operator()(const borrow_operations&) const {}
 
     void close(std::uint64_t session) const
     {
--- a/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
+++ b/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
@@ -60,6 +60,10 @@
 /// Counts a failed call to the platform, for example "put_row".
 void count_store_error(metrics& to, std::string_view operation);
 
+/// Counts a session or a statement that was not served, for example
+/// "over_quota".
+void count_refusal(metrics& to, std::string_view reason);
+
 void count_retry(metrics& to, core::rank importance);
 
 void set_draining(metrics& to, bool draining);
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -46,6 +46,7 @@
     prometheus::Gauge* connections = nullptr;
     detail::counter_family* failover_steps = nullptr;
     detail::counter_family* store_errors = nullptr;
+    detail::counter_family* refusals = nullptr;
     detail::gauge_family* queue_length = nullptr;
     /// Keeps a gauge of `queue_length` alive while it is set.
     core::ordered_mutex<core::lock_level::metrics> queue_mutex;
@@ -148,6 +149,10 @@
     it.store_errors = &family(it.registry, prometheus::BuildCounter,
                               "godwitbarrow_store_errors_total",
                               "Failed calls to the platform by operation");
+    it.refusals = &family(it.registry, prometheus::BuildCounter,
+                          "godwitbarrow_refusals_total",
+                          "Sessions and statements of callers that were not "
+                          "served, by reason");
     it.queue_length = &family(
         it.registry, prometheus::BuildGauge, "godwitbarrow_queue_length",
         "Requests that wait for a slot, by server and rank");
@@ -254,6 +259,11 @@
     to.store_errors->Add({{"operation", detail::text(operation)}}).Increment();
 }
 
+void count_refusal(metrics& to, std::string_view reason)
+{
+    to.refusals->Add({{"reason", detail::text(reason)}}).Increment();
+}
+
 void count_retry(metrics& to, core::rank importance)
 {
     to.retries[core::index_of(importance)]->Increment();
