Keep idle connections of workspaces for longer

They are replaced on demand, so that the limit of a member does not need them closed.

Tests run: platform_test, workspaces_test.

--- a/libs/pooler/src/connections.cpp
+++ b/libs/pooler/src/connections.cpp
@@ -79,6 +79,17 @@
     return best;
 }
 
+bool is_surplus(const context& ctx, const backend_connection& c)
+{
+    const auto g = ctx.pooler.groups.find(c.group);
+    if (g == ctx.pooler.groups.end())
+        return false;
+    const auto m = g->second.members.find(c.server);
+    return m != g->second.members.end() &&
+           m->second.connections.size() >
+               connection_limit(ctx.pooler, g->second);
+}
+
 bool is_on_revoked_primary(const context& ctx, const backend_connection& c)
 {
     const auto g = ctx.pooler.groups.find(c.group);
@@ -195,12 +206,8 @@
     const bool leaving = known &&
                          g->second.members.at(c.server).record.leaving &&
                          g->second.primary != c.server;
-    // The limit of this host shrinks when hosts are added.
-    const bool surplus =
-        known && g->second.members.at(c.server).connections.size() >
-                     connection_limit(ctx.pooler, g->second);
     if (c.phase == connection_phase::idle &&
-        (!known || leaving || surplus || c.setup_failure))
+        (!known || leaving || is_surplus(ctx, c) || c.setup_failure))
         drop_connection(ctx, number);
 }
 
--- a/libs/pooler/src/connections.hpp
+++ b/libs/pooler/src/connections.hpp
@@ -16,6 +16,10 @@
 connection_number pick_idle(const state& all, const member& m,
                             const caller_session& s);
 
+/// Whether this host has more connections to the member than its limit, which
+/// shrinks when hosts are added.
+bool is_surplus(const context& ctx, const backend_connection& c);
+
 /// Whether the connection leads to a primary that must not be used any more.
 bool is_on_revoked_primary(const context& ctx, const backend_connection& c);
 
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -66,6 +66,19 @@
     }
 }
 
+/// A connection of a workspace can be replaced by one of another workspace at
+/// any time, and most workspaces are back after more than the usual limit.
+constexpr std::chrono::milliseconds workspace_idle_limit{15000};
+
+std::chrono::milliseconds idle_limit_of(const context& ctx,
+                                        const backend_connection& c)
+{
+    const auto& usual = ctx.pooler.settings.idle_limit;
+    return c.workspace.value.empty() || is_surplus(ctx, c)
+               ? usual
+               : workspace_idle_limit;
+}
+
 void expire_connections(context& ctx)
 {
     std::vector<connection_number> due;
@@ -77,7 +90,7 @@
              age >= settings.open_timeout) ||
             (c.phase == connection_phase::cleaning &&
              age >= settings.open_timeout) ||
-            (c.phase == connection_phase::idle && age >= settings.idle_limit))
+            (c.phase == connection_phase::idle && age >= idle_limit_of(ctx, c)))
             due.push_back(number);
     }
     for (const auto number : due)
