--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -20,6 +20,7 @@
 #include "host_settings.hpp"
 #include "host_table.hpp"
 #include "mesh_table.hpp"
+#include "quota_table.hpp"
 #include "relay_table.hpp"
 
 /// The pooler as a process: connections, timers and the store around the
@@ -96,6 +97,7 @@
     takeover_table takeovers;
     mesh_table mesh;
     relay_table relays;
+    quota_table quotas;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/callers.cpp
+++ b/apps/proxy/src/pooled/callers.cpp
@@ -188,7 +188,8 @@
     note_started(it, session);
     if (!relayed && relay_session(it, session, first->database, line))
         return;
-    handle(it, pooler::caller_started{session, first->database, relayed});
+    handle(it, pooler::caller_started{session, first->database, first->key,
+                                      relayed});
 }
 
 void send_to_caller(app& it, pooler::session_number session, std::string bytes)
@@ -206,6 +207,7 @@
 
 void refuse(app& it, const pooler::refuse_caller& what)
 {
+    telemetry::count_refusal(*it.metrics, pooler::to_string(what.reason.code));
     auto bytes = platform::encode_refusal(what.reason);
     if (!answer_relayed(it, what.session, bytes, true))
         send_to_caller(it, what.session, std::move(bytes));
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -15,6 +15,7 @@
 #include "links.hpp"
 #include "mesh.hpp"
 #include "owner_watch.hpp"
+#include "quotas.hpp"
 #include "relay.hpp"
 #include "row_share.hpp"
 #include "store_watch.hpp"
@@ -101,6 +102,7 @@
     to.data_centre = from.data_centre;
     to.leaving_primary_limit =
         std::min(to.leaving_primary_limit, from.leaving_limit / 2);
+    to.limits_workspaces = from.quota_window.count() > 0;
     to.shutdown_transactions = from.grace / 2;
     to.shutdown_notice = std::min(balancer_delay, from.grace / 2);
     to.shutdown_limit =
@@ -159,6 +161,7 @@
     start_relaying(it);
     accept_heartbeats(it);
     accept_shared_rows(it);
+    start_quotas(it);
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -7,6 +7,7 @@
 #include "answers.hpp"
 #include "connections.hpp"
 #include "placement.hpp"
+#include "quotas.hpp"
 #include "sending.hpp"
 #include "sessions.hpp"
 #include "shutdown.hpp"
@@ -65,6 +66,19 @@
     }
 }
 
+/// A connection of a workspace can be replaced by one of another workspace at
+/// any time, and most workspaces are back after more than the usual limit.
+constexpr std::chrono::milliseconds workspace_idle_limit{15000};
+
+std::chrono::milliseconds idle_limit_of(const context& ctx,
+                                        const backend_connection& c)
+{
+    const auto& usual = ctx.pooler.settings.idle_limit;
+    return c.workspace.value.empty() || is_surplus(ctx, c)
+               ? usual
+               : workspace_idle_limit;
+}
+
 void expire_connections(context& ctx)
 {
     std::vector<connection_number> due;
@@ -76,7 +90,7 @@
              age >= settings.open_timeout) ||
             (c.phase == connection_phase::cleaning &&
              age >= settings.open_timeout) ||
-            (c.phase == connection_phase::idle && age >= settings.idle_limit))
+            (c.phase == connection_phase::idle && age >= idle_limit_of(ctx, c)))
             due.push_back(number);
     }
     for (const auto number : due)
@@ -149,6 +163,7 @@
         expire_waiting(ctx, g.primary_queue);
         expire_waiting(ctx, g.read_queue);
     }
+    expire_borrowing(ctx);
     expire_running(ctx);
     expire_connections(ctx);
     expire_sessions(ctx);
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -48,6 +48,7 @@
     detail::counter_family* store_errors = nullptr;
     detail::counter_family* closed_callers = nullptr;
     prometheus::Gauge* caller_bytes = nullptr;
+    detail::counter_family* refusals = nullptr;
     detail::gauge_family* queue_length = nullptr;
     /// Keeps a gauge of `queue_length` alive while it is set.
     core::ordered_mutex<core::lock_level::metrics> queue_mutex;
@@ -156,6 +157,10 @@
         &family(it.registry, prometheus::BuildCounter,
                 "godwitbarrow_closed_callers_total",
                 "Connections of callers closed for a limit, by reason");
+    it.refusals = &family(it.registry, prometheus::BuildCounter,
+                          "godwitbarrow_refusals_total",
+                          "Sessions and statements of callers that were not "
+                          "served, by reason");
     it.queue_length = &family(
         it.registry, prometheus::BuildGauge, "godwitbarrow_queue_length",
         "Requests that wait for a slot, by server and rank");
@@ -273,6 +278,11 @@
     to.caller_bytes->Set(static_cast<double>(bytes));
 }
 
+void count_refusal(metrics& to, std::string_view reason)
+{
+    to.refusals->Add({{"reason", detail::text(reason)}}).Increment();
+}
+
 void count_retry(metrics& to, core::rank importance)
 {
     to.retries[core::index_of(importance)]->Increment();
