--- a/libs/pooler/test/owners_test.cpp
+++ b/libs/pooler/test/owners_test.cpp
@@ -80,7 +80,7 @@
 {
     relayed_session()
     {
-        post(caller_started{1, "newest", true});
+        post(caller_started{1, "newest", std::nullopt, true});
     }
 
     void drain()
