--- a/libs/admission/src/caller_limits.cpp
+++ b/libs/admission/src/caller_limits.cpp
@@ -10,14 +10,14 @@
 namespace
 {
 
-constexpr std::uint64_t mib = 1024 * 1024;
+constexpr std::uint64_t mib = std::uint64_t{1024} * 1024;
 constexpr std::uint64_t default_memory = 256 * mib;
 constexpr std::uint64_t default_descriptors = 1024;
 /// For the process itself, its connections to members and the answers that
 /// arrive on them.
 constexpr std::uint64_t base_memory = 32 * mib;
 /// An idle session with its buffers.
-constexpr std::uint64_t connection_bytes = 16 * 1024;
+constexpr std::uint64_t connection_bytes = std::uint64_t{16} * 1024;
 /// Of the descriptors, for files.
 constexpr std::uint64_t file_descriptors = 200;
 /// For members, the store, other hosts, probes and metrics.
--- a/libs/admission/test/caller_limits_test.cpp
+++ b/libs/admission/test/caller_limits_test.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::uint64_t mib = 1024 * 1024;
+constexpr std::uint64_t mib = std::uint64_t{1024} * 1024;
 
 struct watched
 {
--- a/test/callers/callers_test.cpp
+++ b/test/callers/callers_test.cpp
@@ -89,6 +89,15 @@
     return out;
 }
 
+/// Sets a large value and prepares a large statement of this name.
+std::string store_large(const std::string& name)
+{
+    const std::string text(large_bytes, 's');
+    return "QUERY 7be10c55 SET " + name + ' ' + text +
+           "\r\nQUERY 7be10c55 PREPARE " + name + " READ " + name + text +
+           "\r\n";
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(a_host)
@@ -168,16 +177,9 @@
 BOOST_FIXTURE_TEST_CASE(bears_sessions_with_large_state, fixture)
 {
     auto callers = connect(10);
-    const std::string text(large_bytes, 's');
-    std::string bytes = startup;
-    for (int n = 0; n < 7; ++n)
-    {
-        const auto name = "n" + std::to_string(n);
-        bytes += "QUERY 7be10c55 SET " + name + " " + text + "\r\n";
-        bytes += "QUERY 7be10c55 PREPARE " + name + " READ " + name + text;
-        bytes += "\r\n";
-    }
-    append(callers, bytes);
+    append(callers, startup);
+    for (const auto* name : {"n0", "n1", "n2", "n3", "n4", "n5", "n6"})
+        append(callers, store_large(name));
     send_in_pieces(callers, one_piece);
     check_host();
 }
