Free large texts of callers that have left

A statement that a member runs for a caller that has left is not sent again, so its text is dropped, and large allocations go back to the system when they are freed.

--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -1,5 +1,7 @@
 #include "run.hpp"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -25,6 +27,10 @@
 {
 
 constexpr int exit_bad_settings = 2;
+/// Allocations of this size are returned to the system when they are freed. By
+/// default, the size grows with the first one that is freed, and buffers of
+/// large messages stay in the heap.
+constexpr int large_allocation_bytes = 256 * 1024;
 constexpr std::chrono::milliseconds slow_tick{1000};
 constexpr std::chrono::milliseconds shutdown_check{50};
 /// The balancer sends new connections until it has asked twice, once a second.
@@ -191,6 +197,7 @@
         std::cerr << settings_path << ": " << e->message << '\n';
         return detail::exit_bad_settings;
     }
+    mallopt(M_MMAP_THRESHOLD, detail::large_allocation_bytes);
     telemetry::start_logging(telemetry::log_level::info,
                              telemetry::log_target::standard_output);
     auto settings = std::get<host_settings>(std::move(read));
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -336,6 +336,9 @@
         return erase_session(ctx, number);
     if (s.current->queued)
         return fail_queued(ctx, number, "caller disconnected");
+    // It is not sent again. Callers that come and go must not leave large texts
+    // behind until members answer; an assignment would keep the capacity.
+    std::string().swap(s.current->request.stmt.text);
     // A statement that is already running on a member is left to complete.
     if (s.current->retry_on_held)
         fail_statement(ctx, number, failure_code::aborted,
--- a/libs/stream/test/connection_test.cpp
+++ b/libs/stream/test/connection_test.cpp
@@ -206,7 +206,7 @@
     stream::limits within;
     within.read_pause_bytes = 1000;
     pair it(within);
-    const std::string answer(8 * 1024 * 1024, 'x');
+    const std::string answer(std::size_t{8} * 1024 * 1024, 'x');
     it.peer.non_blocking(true);
     stream::send(it.served, answer.substr(0, within.unsent_bytes));
     stream::send(it.served, answer.substr(within.unsent_bytes));
