End sessions at a host once an owner can serve them

A session that started while no owner could be reached stayed with the one connection of the host for as long as its caller was connected. A host is ready once it has found the owners of its groups.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -96,6 +96,8 @@
     core::timer tick;
     std::atomic<bool> ticking{false};
     std::atomic<bool> ready{false};
+    /// Whether it has found the owners of the groups since its start.
+    std::atomic<bool> owners_settled{false};
     /// Of the configuration that was applied last.
     std::atomic<std::uint64_t> configuration_version{0};
     telemetry::metrics_ptr metrics;
--- a/apps/proxy/src/pooled/owner_watch.cpp
+++ b/apps/proxy/src/pooled/owner_watch.cpp
@@ -16,6 +16,10 @@
 {
 
 constexpr std::chrono::milliseconds watch_interval{200};
+/// Until the host has found the owners after its start.
+constexpr std::chrono::milliseconds first_interval{50};
+/// A host that has found none by then is ready all the same.
+constexpr std::chrono::milliseconds settle_limit{2000};
 
 using ownerships = std::map<core::group_id, owners::ownership>;
 using capacities = std::map<core::group_id, owners::member_capacity>;
@@ -62,16 +66,39 @@
     return out;
 }
 
-pooler::group_shares_changed shares_of(const app& it, const ownerships& all)
+/// Whether new sessions can be relayed to one of the owners.
+bool reaches_owner(const relay_table& relays, const owners::ownership& of)
 {
-    pooler::group_shares_changed out;
+    return std::any_of(of.owners.begin(), of.owners.end(),
+                       [&](const auto& owner)
+                       {
+                           const auto p = relays.peers.find(owner.host);
+                           return p != relays.peers.end() &&
+                                  takes_sessions(p->second);
+                       });
+}
+
+std::map<core::group_id, pooler::group_share> shares_of(app& it,
+                                                        const ownerships& all)
+{
+    std::map<core::group_id, pooler::group_share> out;
+    std::lock_guard lock(it.relays.mutex);
     for (const auto& [group, of] : all)
         if (!of.all_hosts)
-            out.shares[group] = {of.owners.size(),
-                                 owners::is_owner(of, it.settings.name)};
+            out[group] = {of.owners.size(),
+                          owners::is_owner(of, it.settings.name),
+                          reaches_owner(it.relays, of)};
     return out;
 }
 
+/// Whether this host serves all groups or reaches an owner of each.
+bool serves_all(const std::map<core::group_id, pooler::group_share>& shares)
+{
+    return std::all_of(shares.begin(), shares.end(),
+                       [](const auto& s)
+                       { return s.second.owned || s.second.relayed; });
+}
+
 std::set<core::host_id> remote_owners(const app& it, const ownerships& all)
 {
     std::set<core::host_id> out;
@@ -92,19 +119,17 @@
         {{"group", group}, {"owners", of.all_hosts ? "all" : names}});
 }
 
-void update_owners(app& it)
+/// Returns the owners from now on.
+ownerships update_owners(app& it)
 {
     ownerships before;
     {
         std::lock_guard lock(it.relays.mutex);
-        // The sessions that are left keep their connections.
-        if (it.relays.draining_since)
-            return;
         before = it.relays.groups;
     }
-    const auto now = choose_all(it, before);
+    auto now = choose_all(it, before);
     if (now == before)
-        return;
+        return now;
     for (const auto& [group, of] : now)
         if (before.count(group) == 0 || before.at(group) != of)
             log_owners(group, of);
@@ -113,13 +138,37 @@
         it.relays.groups = now;
     }
     want_links(it, peer::topic::sessions, remote_owners(it, now));
-    handle(it, shares_of(it, now));
+    return now;
 }
 
-void keep_updating(app& it)
+/// The shares that the pooler works with.
+using known_shares = std::map<core::group_id, pooler::group_share>;
+
+void update_shares(app& it, known_shares& known, core::time_point started)
 {
-    update_owners(it);
-    after(it, watch_interval, [&it] { keep_updating(it); });
+    auto shares = shares_of(it, update_owners(it));
+    const bool settled =
+        !other_hosts(it).empty() && !shares.empty() && serves_all(shares);
+    if (settled || core::runtime_clock::now() - started >= settle_limit)
+        it.owners_settled = true;
+    if (shares == known)
+        return;
+    known = shares;
+    handle(it, pooler::group_shares_changed{std::move(shares)});
+}
+
+void keep_updating(app& it, const std::shared_ptr<known_shares>& known,
+                   core::time_point started)
+{
+    {
+        std::lock_guard lock(it.relays.mutex);
+        // The sessions that are left keep their connections.
+        if (it.relays.draining_since)
+            return;
+    }
+    update_shares(it, *known, started);
+    after(it, it.owners_settled ? watch_interval : first_interval,
+          [&it, known, started] { keep_updating(it, known, started); });
 }
 
 std::optional<core::group_id> group_of(app& it, const std::string& database)
@@ -137,8 +186,13 @@
 
 void watch_owners(app& it)
 {
-    if (it.settings.peers)
-        detail::keep_updating(it);
+    if (!it.settings.peers)
+    {
+        it.owners_settled = true;
+        return;
+    }
+    detail::keep_updating(it, std::make_shared<detail::known_shares>(),
+                          core::runtime_clock::now());
 }
 
 std::vector<core::host_id> owners_of_database(app& it,
--- a/apps/proxy/src/pooled/relay_entry.cpp
+++ b/apps/proxy/src/pooled/relay_entry.cpp
@@ -21,11 +21,6 @@
 /// for this long.
 constexpr std::chrono::milliseconds shutdown_idle{50};
 
-bool accepts_sessions(const relay_peer& p)
-{
-    return p.linked && !p.silent && !p.draining_since;
-}
-
 /// Registers the session with the first of the owners that can be reached.
 std::optional<core::host_id> assign_owner(
     app& it, pooler::session_number session,
@@ -35,7 +30,7 @@
     for (const auto& owner : owners)
     {
         const auto p = it.relays.peers.find(owner);
-        if (p == it.relays.peers.end() || !accepts_sessions(p->second))
+        if (p == it.relays.peers.end() || !takes_sessions(p->second))
             continue;
         outbound_session s;
         s.owner = owner;
@@ -197,6 +192,10 @@
         return false;
     if (noted->too_much)
     {
+        telemetry::log_event(
+            telemetry::log_level::warning, "caller disconnected",
+            {{"owner", noted->owner},
+             {"reason", "it sends more than the owner has answered"}});
         end_relayed_caller(it, session);
         disconnect_caller(it, session);
         return true;
--- a/apps/proxy/src/pooled/relay_table.hpp
+++ b/apps/proxy/src/pooled/relay_table.hpp
@@ -76,6 +76,12 @@
     std::deque<held_item> held;
 };
 
+/// Whether new sessions may be relayed to the host.
+inline bool takes_sessions(const relay_peer& it)
+{
+    return it.linked && !it.silent && !it.draining_since;
+}
+
 struct relay_table
 {
     explicit relay_table(boost::asio::io_context& io)
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -109,7 +109,7 @@
 
 gateway::admin_response readiness_of(app& it)
 {
-    const bool ready = it.ready;
+    const bool ready = it.ready && it.owners_settled;
     return {ready ? 200U : 503U, "text/plain", ready ? "ok\n" : "not ready\n"};
 }
 
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -101,8 +101,16 @@
     /// Whether this host is one of them. If not, it uses one connection to a
     /// member at most, for callers that it cannot relay to an owner.
     bool owned = true;
+    /// If not, whether it can relay new sessions to an owner. Idle sessions are
+    /// then ended here, so that their callers connect again.
+    bool relayed = false;
 };
 
+inline bool operator==(const group_share& a, const group_share& b)
+{
+    return a.owners == b.owners && a.owned == b.owned && a.relayed == b.relayed;
+}
+
 /// The shares of the groups that only some hosts serve.
 struct group_shares_changed
 {
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -86,7 +86,8 @@
     /// Time for which a member is skipped after its connection was lost or
     /// stopped responding.
     std::chrono::milliseconds failed_back_off{400};
-    /// During shutdown, callers that are idle for this long are disconnected.
+    /// During shutdown, callers that are idle for this long are disconnected,
+    /// as are those whose group has other owners.
     std::chrono::milliseconds shutdown_idle{50};
     /// The host that holds the connection of a relayed session disconnects the
     /// caller itself once it is idle, since it sees whether a statement is on
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -117,6 +117,16 @@
     s.tx.unreported_reason = std::move(reason);
 }
 
+/// Whether the session is to be served by an owner of its group from now on.
+bool belongs_elsewhere(const context& ctx, const caller_session& s)
+{
+    const auto g = ctx.pooler.groups.find(s.active_route.group);
+    if (g == ctx.pooler.groups.end() || !g->second.share)
+        return false;
+    const auto& share = *g->second.share;
+    return !share.owned && share.relayed;
+}
+
 std::chrono::milliseconds shutdown_idle_of(const context& ctx,
                                            const caller_session& s)
 {
@@ -132,8 +142,12 @@
         if (auto reason = expiry_reason(ctx, s); !reason.empty())
             expire_transaction(ctx, s, std::move(reason));
         const bool idle = !s.current && s.tx.phase == transaction_phase::none;
-        if (shutdown_start(ctx, s) && idle &&
-            ctx.now - s.idle_since >= shutdown_idle_of(ctx, s))
+        const auto idle_for = ctx.now - s.idle_since;
+        const bool ends =
+            (shutdown_start(ctx, s) && idle_for >= shutdown_idle_of(ctx, s)) ||
+            (belongs_elsewhere(ctx, s) &&
+             idle_for >= ctx.pooler.settings.shutdown_idle);
+        if (idle && ends)
             close.push_back(number);
     }
     for (const auto number : close)
--- a/libs/pooler/test/owners_test.cpp
+++ b/libs/pooler/test/owners_test.cpp
@@ -64,6 +64,19 @@
     BOOST_TEST(open_all() == 1U);
 }
 
+// Guards against callers that stay with one connection for ever because they
+// came while no owner could be reached.
+BOOST_FIXTURE_TEST_CASE(ends_idle_sessions_that_an_owner_can_serve, owned_group)
+{
+    start(1, "newest");
+    share(3, false);
+    wait(1s);
+    BOOST_TEST(!first_of<close_caller>());
+    post(group_shares_changed{{{group, {3, false, true}}}});
+    wait(pooler_state.settings.shutdown_idle);
+    BOOST_TEST(first_of<close_caller>().has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(is_shared_by_all_hosts_again, owned_group)
 {
     post(host_count_changed{23});
