--- a/apps/proxy/src/pooled/owner_watch.cpp
+++ b/apps/proxy/src/pooled/owner_watch.cpp
@@ -209,14 +209,21 @@
     return owners::preferred_owners(g->second, own_host(it));
 }
 
-bool serves_group(app& it, const core::group_id& group, std::size_t& hosts)
+bool serves_group(app& it, const core::group_id& group)
+{
+    std::lock_guard lock(it.relays.mutex);
+    const auto g = it.relays.groups.find(group);
+    return g == it.relays.groups.end() ||
+           owners::is_owner(g->second, it.settings.name);
+}
+
+std::optional<std::size_t> count_owners(app& it, const core::group_id& group)
 {
     std::lock_guard lock(it.relays.mutex);
     const auto g = it.relays.groups.find(group);
     if (g == it.relays.groups.end() || g->second.all_hosts)
-        return true;
-    hosts = g->second.owners.size();
-    return owners::is_owner(g->second, it.settings.name);
+        return std::nullopt;
+    return g->second.owners.size();
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/owner_watch.hpp
+++ b/apps/proxy/src/pooled/owner_watch.hpp
@@ -1,5 +1,10 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include "app.hpp"
 
 namespace godwitbarrow::proxy::pooled
@@ -14,8 +19,10 @@
 std::vector<core::host_id> owners_of_database(app& it,
                                               const std::string& database);
 
-/// Whether this host takes part in decisions about the group; `hosts` is set to
-/// the number of hosts that do, unless all do.
-bool serves_group(app& it, const core::group_id& group, std::size_t& hosts);
+/// Whether this host serves sessions of the group, and so sees its members.
+bool serves_group(app& it, const core::group_id& group);
+
+/// Number of hosts that do; absent if all do.
+std::optional<std::size_t> count_owners(app& it, const core::group_id& group);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/relay.cpp
+++ b/apps/proxy/src/pooled/relay.cpp
@@ -73,8 +73,8 @@
 
 void release_held(app& it, const core::host_id& from)
 {
-    for (auto& due : take_due(it, from))
-        take_from_entry(it, from, std::move(due));
+    for (const auto& due : take_due(it, from))
+        take_from_entry(it, from, due);
     bool waits = false;
     {
         std::lock_guard lock(it.relays.mutex);
@@ -124,7 +124,7 @@
     {
         bool first = false;
         if (!hold(it, from, what, configuration, first))
-            return take_from_entry(it, from, std::move(what));
+            return take_from_entry(it, from, what);
         if (first)
             release_held(it, from);
         return;
--- a/apps/proxy/src/pooled/relay.hpp
+++ b/apps/proxy/src/pooled/relay.hpp
@@ -52,7 +52,8 @@
 /// Disconnects idle callers whose owner or whose own host is shutting down.
 void end_draining_callers(app& it);
 
-void take_from_entry(app& it, const core::host_id& from, relay::item what);
+void take_from_entry(app& it, const core::host_id& from,
+                     const relay::item& what);
 void lose_entry(app& it, const core::host_id& entry);
 /// Treats the sessions of the host as during a shutdown of this one.
 void drain_entry(app& it, const core::host_id& entry);
--- a/apps/proxy/src/pooled/relay_owner.cpp
+++ b/apps/proxy/src/pooled/relay_owner.cpp
@@ -115,7 +115,8 @@
 
 }  // namespace
 
-void take_from_entry(app& it, const core::host_id& from, relay::item what)
+void take_from_entry(app& it, const core::host_id& from,
+                     const relay::item& what)
 {
     if (what.kind == relay::item_kind::disconnected)
         return take_disconnect(it, from, what);
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -206,7 +206,8 @@
 {
     for (auto& [group, view] : views)
     {
-        if (serves_group(it, group, view.live_hosts))
+        view.live_hosts = count_owners(it, group).value_or(view.live_hosts);
+        if (serves_group(it, group))
             continue;
         view.unreachable = false;
         view.unreachable_for = std::chrono::milliseconds(0);
--- a/test/pooled/fleet.hpp
+++ b/test/pooled/fleet.hpp
@@ -83,11 +83,8 @@
     running_host& entry()
     {
         for (auto& it : hosts)
-        {
-            std::size_t owners = 0;
-            if (it.app && !proxy::pooled::serves_group(*it.app, group, owners))
+            if (it.app && !proxy::pooled::serves_group(*it.app, group))
                 return it;
-        }
         BOOST_FAIL("all hosts are owners");
         return hosts.front();
     }
--- a/test/pooled/relay_test.cpp
+++ b/test/pooled/relay_test.cpp
@@ -126,9 +126,8 @@
 // the group see nothing of it, and their votes were waited for.
 BOOST_FIXTURE_TEST_CASE(replace_it_without_votes_of_other_hosts, fleet)
 {
-    std::size_t voters = 0;
-    BOOST_TEST(!proxy::pooled::serves_group(*entry().app, group, voters));
-    BOOST_TEST(voters == 3U);
+    BOOST_TEST(proxy::pooled::count_owners(*entry().app, group).value_or(0) ==
+               3U);
     const auto all = owners();
     caller first(port_of(*all[0]), "newest");
     caller second(port_of(*all[1]), "newest");
