Lend quotas soon after a restart of all hosts

After a power loss nothing was lent for 7 s, since a host used its share only 5 s after its start. A starting host now delegates it at once to the first lender of a group, which takes shares of hosts that it counts and no more than all shares together.

--- a/apps/proxy/src/pooled/quotas.cpp
+++ b/apps/proxy/src/pooled/quotas.cpp
@@ -1,5 +1,6 @@
 #include "quotas.hpp"
 
+#include <algorithm>
 #include <mutex>
 #include <optional>
 
@@ -20,6 +21,8 @@
 /// Shares are asked for this often, so that one lost answer leaves time for two
 /// more before a delegation ends.
 constexpr std::chrono::milliseconds share_interval{800};
+/// The same while the lender of a group has no shares yet.
+constexpr std::chrono::milliseconds first_share_interval{200};
 /// A host that left a request unanswered is no lender for this long.
 constexpr std::chrono::milliseconds silence{3000};
 /// Hosts of each group that others keep links to.
@@ -115,9 +118,25 @@
             send_quota(it, host, request);
 }
 
+/// Whether this host should lend and has nothing to lend.
+bool lacks_shares(app& it)
+{
+    auto& t = it.quotas;
+    const auto now = core::runtime_clock::now();
+    std::lock_guard lock(t.mutex);
+    return std::any_of(t.groups.begin(), t.groups.end(),
+                       [&](lending_entry& entry)
+                       {
+                           return entry.lender.value.empty() ||
+                                  (entry.lender == t.shares.self &&
+                                   delegated_share(entry.state, now) == 0);
+                       });
+}
+
 void keep_lending(app& it)
 {
-    after(it, share_interval, [&it] { keep_lending(it); });
+    after(it, lacks_shares(it) ? first_share_interval : share_interval,
+          [&it] { keep_lending(it); });
     if (!hosts_listed(it))
         return;
     std::set<core::host_id> others;
@@ -185,7 +204,7 @@
         auto& t = in.quotas;
         std::lock_guard lock(t.mutex);
         auto& entry = t.groups[what.group];
-        if (what.round == entry.round)
+        if (what.round == entry.round && is_listed(t.shares, from))
             accept_share(entry.state, from, what.share, entry.asked,
                          core::runtime_clock::now());
     }
--- a/libs/workspaces/include/godwitbarrow/workspaces/lending.hpp
+++ b/libs/workspaces/include/godwitbarrow/workspaces/lending.hpp
@@ -72,7 +72,7 @@
 void accept_share(lender_state& it, const core::host_id& from, double share,
                   core::time_point asked, core::time_point now);
 
-/// Sum of the shares that are delegated now.
+/// Sum of the shares that are delegated now, at most 1.
 double delegated_share(lender_state& it, core::time_point now);
 
 struct lent
--- a/libs/workspaces/include/godwitbarrow/workspaces/shares.hpp
+++ b/libs/workspaces/include/godwitbarrow/workspaces/shares.hpp
@@ -31,8 +31,10 @@
     /// A host that is no longer listed counts for this long. It may go on
     /// without the store.
     std::chrono::milliseconds retention{60000};
-    /// Until then after the start, other hosts may not count this one.
-    /// A share that was delegated before a restart has ended by then.
+    /// Until then after the start, other hosts may not count this one, and a
+    /// share that was delegated before a restart may not have ended. It is
+    /// delegated only to the first lender of the group, who is likely to have
+    /// had it before.
     std::chrono::milliseconds start{5000};
 };
 
@@ -57,12 +59,11 @@
 void record_hosts(share_state& it, const std::set<core::host_id>& others,
                   core::time_point now);
 
-/// Share of each quota that this host may delegate; 0 until other hosts count
-/// this one.
-double own_share(share_state& it, core::time_point now);
+/// Whether this host has counted the host.
+bool is_listed(const share_state& it, const core::host_id& host);
 
-/// Delegates the share to the lender for `time`. Returns nothing if it has
-/// none, or if it is delegated to another lender.
+/// Delegates the share to the lender for `time`. Returns nothing if this host
+/// has none yet, or if it is delegated to another lender.
 std::optional<double> delegate_share(share_state& it, lending_group group,
                                      const core::host_id& lender,
                                      std::chrono::milliseconds time,
--- a/libs/workspaces/src/lending.cpp
+++ b/libs/workspaces/src/lending.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Told to a borrower if the lender does not know when it can lend more.
-constexpr std::chrono::milliseconds unknown_retry{1000};
+constexpr std::chrono::milliseconds unknown_retry{200};
 
 /// Parts of the tolerated excess: for bursts of workspaces with a low rate, and
 /// for operations that were lent and may have run already. The rest covers
@@ -60,13 +60,16 @@
 {
     if (now <= it.advanced)
         return;
+    double added = 0;
     for (const auto& [host, d] : it.delegations)
     {
         const auto from = std::max(it.advanced, d.from);
         const auto to = std::min(now, d.end);
         if (to > from)
-            it.share_time += d.share * seconds(to - from);
+            added += d.share * seconds(to - from);
     }
+    // Hosts that were just added count more hosts than others do.
+    it.share_time += std::min(added, seconds(now - it.advanced));
     it.advanced = now;
     remove_ended(it, now);
 }
@@ -134,7 +137,7 @@
     double out = 0;
     for (const auto& [host, d] : it.delegations)
         out += d.share;
-    return out;
+    return std::min(out, 1.0);
 }
 
 lent lend(lender_state& it, const core::workspace_id& workspace,
--- a/libs/workspaces/src/shares.cpp
+++ b/libs/workspaces/src/shares.cpp
@@ -41,26 +41,40 @@
                                                      : std::next(n);
 }
 
-double own_share(share_state& it, core::time_point now)
+bool is_listed(const share_state& it, const core::host_id& host)
 {
-    if (!it.first_listed || now - *it.first_listed < it.settings.start)
-        return 0;
-    return 1.0 / static_cast<double>(it.listed.size() + 1);
+    return it.listed.count(host) > 0;
+}
+
+namespace
+{
+
+bool is_first_lender(const share_state& it, lending_group group,
+                     const core::host_id& lender)
+{
+    std::set<core::host_id> all{it.self};
+    for (const auto& [host, at] : it.listed)
+        all.insert(host);
+    return rank_lenders(group, all).front() == lender;
 }
 
+}  // namespace
+
 std::optional<double> delegate_share(share_state& it, lending_group group,
                                      const core::host_id& lender,
                                      std::chrono::milliseconds time,
                                      core::time_point now)
 {
-    const double share = own_share(it, now);
-    if (share == 0)
+    if (!it.first_listed)
+        return std::nullopt;
+    const bool starting = now - *it.first_listed < it.settings.start;
+    if (starting && !is_first_lender(it, group, lender))
         return std::nullopt;
     auto& p = it.promises[group];
     if (p.lender != lender && now < p.end)
         return std::nullopt;
     p = {lender, std::max(p.end, now + time)};
-    return share;
+    return 1.0 / static_cast<double>(it.listed.size() + 1);
 }
 
 }  // namespace godwitbarrow::workspaces
--- a/libs/workspaces/test/quotas_test.cpp
+++ b/libs/workspaces/test/quotas_test.cpp
@@ -128,9 +128,11 @@
         if (!share)
             return;
         send(lender,
-             [=] {
-                 accept_share(hosts[lender].lender, name_of(n), *share, asked,
-                              now);
+             [=]
+             {
+                 if (n == lender || is_listed(hosts[lender].shares, name_of(n)))
+                     accept_share(hosts[lender].lender, name_of(n), *share,
+                                  asked, now);
              });
     }
 
