--- a/libs/workspaces/src/shares.cpp
+++ b/libs/workspaces/src/shares.cpp
@@ -20,10 +20,12 @@
 {
     const auto key = "quota lender " + std::to_string(group);
     std::vector<std::pair<std::uint64_t, core::host_id>> rated;
+    rated.reserve(hosts.size());
     for (const auto& host : hosts)
         rated.emplace_back(routing::rendezvous_hash(key, host.value), host);
     std::sort(rated.rbegin(), rated.rend());
     std::vector<core::host_id> out;
+    out.reserve(rated.size());
     for (auto& [hash, host] : rated)
         out.push_back(std::move(host));
     return out;
