--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "configuration_table.hpp"
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/lock_order.hpp"
 #include "godwitbarrow/gateway/admin.hpp"
@@ -91,6 +92,7 @@
     link_table links;
     takeover_table takeovers;
     mesh_table mesh;
+    configuration_table configuration;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "app.hpp"
+#include "configuration_exchange.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "host_census.hpp"
 #include "links.hpp"
@@ -154,6 +155,8 @@
         return http;
     accept_heartbeats(it);
     accept_shared_rows(it);
+    exchange_configurations(it, [&it](const std::string& text)
+                            { apply_configuration(it, text); });
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
--- a/apps/proxy/src/pooled/store_watch.cpp
+++ b/apps/proxy/src/pooled/store_watch.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/strand.hpp>
 #include <map>
 
+#include "configuration_exchange.hpp"
 #include "godwitbarrow/platform/records.hpp"
 #include "godwitbarrow/platform/rows.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
@@ -23,20 +24,8 @@
 void take_configuration(app& it, const platform::row_page& page)
 {
     for (const auto& row : page.rows)
-    {
-        if (row.key != platform::configuration_key || row.deleted)
-            continue;
-        auto parsed = platform::parse_configuration(row.value);
-        if (const auto* e = std::get_if<core::error>(&parsed))
-        {
-            telemetry::log_event(telemetry::log_level::error,
-                                 "configuration rejected",
-                                 {{"reason", e->message}});
-            continue;
-        }
-        handle(it, pooler::configuration_changed{
-                       std::get<pooler::configuration>(std::move(parsed))});
-    }
+        if (row.key == platform::configuration_key && !row.deleted)
+            apply_configuration(it, row.value);
 }
 
 struct registered
@@ -123,6 +112,18 @@
 }  // namespace
 }  // namespace detail
 
+void apply_configuration(app& it, const std::string& text)
+{
+    auto parsed = platform::parse_configuration(text);
+    if (const auto* e = std::get_if<core::error>(&parsed))
+        return telemetry::log_event(telemetry::log_level::error,
+                                    "configuration rejected",
+                                    {{"reason", e->message}});
+    auto& made = std::get<pooler::configuration>(parsed);
+    if (announce_configuration(it, made.version, text))
+        handle(it, pooler::configuration_changed{std::move(made)});
+}
+
 void watch_store(app& it)
 {
     follow_table(it, platform::operator_table,
--- a/apps/proxy/src/pooled/store_watch.hpp
+++ b/apps/proxy/src/pooled/store_watch.hpp
@@ -9,4 +9,8 @@
 /// members.
 void watch_store(app& it);
 
+/// Puts a configuration in force, as the operator wrote it, unless it cannot be
+/// read or a newer one is in force. Called on the strand of `app::hosts`.
+void apply_configuration(app& it, const std::string& text);
+
 }  // namespace godwitbarrow::proxy::pooled
--- a/libs/core/include/godwitbarrow/core/lock_order.hpp
+++ b/libs/core/include/godwitbarrow/core/lock_order.hpp
@@ -16,6 +16,7 @@
     group_state = 40,
     transactions = 50,
     connections = 60,
+    configuration = 65,
     peers = 70,
     metrics = 80
 };
