Read tables anew once the store was restored from a copy

After a restore versions go back and are given out again: a feed that went on from its version was deaf or returned other rows under known numbers, a claim could win under a condition of before, and its fencing token could be used twice.

A table is read whole at each new era. Registrations and the votes on a primary compare by era and version; an earlier registration of the same start of a member replaces nothing. Each host writes its row again. A takeover under a claim of an earlier era ends before its next order; the next claim waits until no lost claim can be acted on, with a token above all that may have been used. Marks of paused replicas and the configuration in force stay as they were.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
@@ -71,6 +72,15 @@
     std::atomic<bool> claims_followed{false};
 };
 
+/// What the answers of the store have shown.
+struct store_observation
+{
+    /// Rises each time the store is restored from a copy.
+    std::atomic<std::uint64_t> newest_era{0};
+    /// Called when it has risen. Set before the first call to the store.
+    std::function<void()> restored;
+};
+
 struct app
 {
     explicit app(host_settings it)
@@ -88,6 +98,7 @@
     link_table links;
     takeover_table takeovers;
     mesh_table mesh;
+    store_observation store;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/host_census.cpp
+++ b/apps/proxy/src/pooled/host_census.cpp
@@ -26,6 +26,7 @@
     std::shared_ptr<service_link> link;
     struct sighting
     {
+        std::uint64_t era = 0;
         std::uint64_t version = 0;
         core::time_point at;
     };
@@ -43,9 +44,12 @@
     for (const auto& row : page.rows)
     {
         const auto known = c.seen.find(row.key);
-        auto s = known != c.seen.end() && known->second.version == row.version
-                     ? known->second
-                     : host_census::sighting{row.version, now};
+        const bool unchanged = known != c.seen.end() &&
+                               known->second.era == page.era &&
+                               known->second.version == row.version;
+        const auto s = unchanged
+                           ? known->second
+                           : host_census::sighting{page.era, row.version, now};
         if (now - s.at < host_limit)
         {
             ++live;
@@ -75,9 +79,8 @@
                });
 }
 
-void announce_host(app& it, const census_ptr& c)
+void write_host(app& it, const census_ptr& c)
 {
-    after(it, host_interval, [&it, c] { announce_host(it, c); });
     platform::row own;
     own.table = host_table;
     own.key = it.settings.name.value;
@@ -87,6 +90,12 @@
         [&it, c](const http::exchange_result&) { count_hosts(it, c); });
 }
 
+void announce_host(app& it, const census_ptr& c)
+{
+    after(it, host_interval, [&it, c] { announce_host(it, c); });
+    write_host(it, c);
+}
+
 }  // namespace
 }  // namespace detail
 
@@ -94,6 +103,11 @@
 {
     const auto census = std::make_shared<detail::host_census>();
     census->link = make_store_link(it);
+    // A store that was restored may lack the row of this host.
+    it.store.restored = [&it, census]
+    {
+        detail::write_host(it, census);
+    };
     detail::announce_host(it, census);
 }
 
--- a/apps/proxy/src/pooled/store_link.cpp
+++ b/apps/proxy/src/pooled/store_link.cpp
@@ -45,6 +45,16 @@
                        std::get<http::failure>(got).message};
 }
 
+void note_store_era(app& it, std::uint64_t era)
+{
+    auto known = it.store.newest_era.load();
+    while (known < era)
+        if (it.store.newest_era.compare_exchange_weak(known, era))
+            break;
+    if (known < era && it.store.restored)
+        it.store.restored();
+}
+
 void after(app& it, std::chrono::milliseconds pause,
            std::function<void()> action)
 {
--- a/apps/proxy/src/pooled/store_link.hpp
+++ b/apps/proxy/src/pooled/store_link.hpp
@@ -27,6 +27,9 @@
 /// or as of `platform::parse_rows`.
 core::result<platform::row_page> page_of(const http::exchange_result& got);
 
+/// Records the era that an answer of the store has shown.
+void note_store_era(app& it, std::uint64_t era);
+
 /// Runs the action after a pause.
 void after(app& it, std::chrono::milliseconds pause,
            std::function<void()> action);
--- a/apps/proxy/src/pooled/store_watch.cpp
+++ b/apps/proxy/src/pooled/store_watch.cpp
@@ -42,9 +42,22 @@
 struct registered
 {
     platform::row row;
+    /// Era of the store in which it was read.
+    std::uint64_t era = 0;
     std::optional<core::time_point> removed;
 };
 
+/// Whether the row replaces the one that is known. A store that was restored
+/// may return an earlier registration; the member writes the newest one again.
+bool replaces(const platform::row& row, std::uint64_t era,
+              const registered& known)
+{
+    if (era == known.era)
+        return row.version >= known.row.version;
+    return era > known.era &&
+           platform::is_later_registration(row.value, known.row.value);
+}
+
 /// The registrations as rows. Used on its strand only: pages of the store and
 /// timers arrive on any worker.
 struct registry
@@ -56,6 +69,8 @@
 
     boost::asio::strand<boost::asio::io_context::executor_type> strand;
     std::map<std::string, registered> rows;
+    /// Newest era of the store of which a page was taken.
+    std::uint64_t era = 0;
 };
 using registry_ptr = std::shared_ptr<registry>;
 
@@ -80,6 +95,8 @@
                                  {{"reason", e->message}});
         else
             out.registrations.push_back(std::get<pooler::registration>(parsed));
+        if (ok(parsed))
+            out.registrations.back().era = n->second.era;
         ++n;
     }
     handle(it, out);
@@ -88,6 +105,9 @@
 void take_registrations(app& it, const registry_ptr& all,
                         const platform::row_page& page, bool whole)
 {
+    if (page.era < all->era)
+        return;
+    all->era = page.era;
     const auto now = core::runtime_clock::now();
     bool removed = false;
     std::map<std::string, bool> listed;
@@ -100,10 +120,17 @@
     for (const auto& row : page.rows)
     {
         listed[row.key] = true;
-        if (!row.deleted)
-            all->rows[row.key] = {row, std::nullopt};
-        else if (const auto n = all->rows.find(row.key); n != all->rows.end())
-            remove(n->second);
+        const auto n = all->rows.find(row.key);
+        if (row.deleted)
+        {
+            if (n != all->rows.end())
+                remove(n->second);
+            continue;
+        }
+        if (n == all->rows.end() || replaces(row, page.era, n->second))
+            all->rows[row.key] = {row, page.era, std::nullopt};
+        else
+            n->second.removed.reset();
     }
     if (whole)
         for (auto& [key, n] : all->rows)
--- a/apps/proxy/src/pooled/table_watch.cpp
+++ b/apps/proxy/src/pooled/table_watch.cpp
@@ -62,6 +62,7 @@
     if (!ok(got))
         return r->handler(got);
     auto& page = std::get<platform::row_page>(got);
+    note_store_era(it, page.era);
     if (!r->rows)
         r->rows = platform::row_page{
             {}, page.version, page.era, page.store_time, began, false};
@@ -132,6 +133,7 @@
     }
     note_reachable(*w, true, {});
     const auto& page = std::get<platform::row_page>(got);
+    note_store_era(it, page.era);
     if (!whole && page.era != w->known->era)
     {
         note_new_era(*w, page.era);
--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -66,6 +66,7 @@
         return takeover::store_failed{};
     const auto& page = std::get<platform::row_page>(read);
     out.store_time = page.store_time;
+    out.era = page.era;
     // Keys of other groups whose names continue this one may be between.
     for (const auto& row : page.rows)
         if (row.key == group.value)
@@ -84,9 +85,9 @@
                                          ? takeover::write_result::conflict
                                          : takeover::write_result::unknown,
                                      0};
-    return takeover::row_written{
-        takeover::write_result::done,
-        std::get<platform::written_row>(parsed).version};
+    const auto& done = std::get<platform::written_row>(parsed);
+    return takeover::row_written{takeover::write_result::done, done.version,
+                                 done.era};
 }
 
 platform::row claim_row(const group_id& group, const takeover::claim& claim)
@@ -188,7 +189,7 @@
                 const auto age = made.claimed_at <= page.store_time
                                      ? page.store_time - made.claimed_at
                                      : detail::unknown_age;
-                handler({row.key}, {made, row.version, age});
+                handler({row.key}, {made, row.version, age, page.era});
             }
         });
 }
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -185,6 +185,7 @@
                 seen.unreachable_for);
         view.leaving = seen.leaving;
         view.live_hosts = all.live_hosts;
+        view.store_era = it.store.newest_era;
         view.newest_term = seen.newest_term;
         view.synchronous_replicas = g.settings.synchronous_replicas;
         for (const auto& [server, m] : g.members)
--- a/libs/pooler/include/godwitbarrow/pooler/configuration.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/configuration.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 
 #include "godwitbarrow/core/endpoint.hpp"
 #include "godwitbarrow/core/names.hpp"
@@ -69,10 +70,30 @@
     bool leaving = false;
     /// Role as the server itself reports it, which may be outdated.
     core::member_role role = core::member_role::replica;
-    /// Version of the registration; a later change has a higher one.
+    /// Version of the registration; a later change has a higher one in the same
+    /// era of the store.
     std::uint64_t version = 0;
+    /// Rises when the store is restored from a copy.
+    std::uint64_t era = 0;
     /// Distinguishes restarts of the server under the same name.
     std::uint64_t incarnation = 0;
 };
 
+/// Version of a registration, comparable across eras of the store.
+struct record_version
+{
+    std::uint64_t era = 0;
+    std::uint64_t number = 0;
+};
+
+inline record_version version_of(const registration& it)
+{
+    return {it.era, it.version};
+}
+
+inline bool operator<(const record_version& a, const record_version& b)
+{
+    return std::tie(a.era, a.number) < std::tie(b.era, b.number);
+}
+
 }  // namespace godwitbarrow::pooler
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -245,7 +245,7 @@
     /// Time at which it denied being the primary, and the version of its
     /// registration at that time.
     std::optional<core::time_point> denied_at;
-    std::uint64_t denied_version = 0;
+    record_version denied_version;
     /// Time at which the last statement on it timed out or its connection was
     /// lost.
     std::optional<core::time_point> failed_at;
@@ -259,7 +259,7 @@
     core::time_point since;
     core::time_point renewed_at;
     /// Version of its registration when it was revoked.
-    std::uint64_t version = 0;
+    record_version version;
     /// Whether another member has become the primary.
     bool replaced = false;
 };
--- a/libs/pooler/src/freshness.cpp
+++ b/libs/pooler/src/freshness.cpp
@@ -26,11 +26,11 @@
         if (id == server)
         {
             m.denied_at.reset();
-            m.denied_version = 0;
+            m.denied_version = {};
             continue;
         }
         // Roles that the other members registered earlier are outdated.
-        m.denied_version = std::max(m.denied_version, m.record.version);
+        m.denied_version = std::max(m.denied_version, version_of(m.record));
     }
 }
 
@@ -54,7 +54,7 @@
 void record_primary_denial(group& it, member& m, core::time_point now)
 {
     m.denied_at = now;
-    m.denied_version = m.record.version;
+    m.denied_version = version_of(m.record);
     if (it.primary != m.record.server)
         return;
     it.primary.reset();
@@ -70,7 +70,8 @@
         return;
     }
     const auto m = it.members.find(server);
-    const auto version = m == it.members.end() ? 0 : m->second.record.version;
+    const auto version =
+        m == it.members.end() ? record_version{} : version_of(m->second.record);
     it.revoked = revocation{server, now, now, version, false};
 }
 
@@ -95,7 +96,7 @@
     const auto m = it.members.find(it.revoked->server);
     if (m != it.members.end() &&
         m->second.record.role == core::member_role::replica &&
-        m->second.record.version > it.revoked->version)
+        it.revoked->version < version_of(m->second.record))
         it.revoked.reset();
 }
 
@@ -111,9 +112,9 @@
         if (m.record.role != core::member_role::primary ||
             is_revoked(it, id, settings, now))
             continue;
-        if (m.record.version <= m.denied_version)
+        if (!(m.denied_version < version_of(m.record)))
             continue;
-        if (!best || m.record.version > best->record.version)
+        if (!best || version_of(best->record) < version_of(m.record))
             best = &m;
     }
     if (best)
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -66,6 +66,9 @@
     /// with synchronous replicas may leave unanswered before it is replaced
     /// without its log position.
     unsigned max_primary_queries = 3;
+    /// Fencing tokens that the first claim after a restore of the store leaves
+    /// out, since claims that the store has lost may have used them.
+    std::uint64_t lost_token_reserve = 1000;
 };
 
 /// State of the group as observed by this host.
@@ -87,6 +90,9 @@
     std::size_t synchronous_replicas = 0;
     /// Highest term in the log positions that this host has seen.
     core::term_number newest_term = 0;
+    /// Newest era of the store that this host has seen. It rises when the store
+    /// is restored from a copy, which may lack the last claims and votes.
+    std::uint64_t store_era = 0;
 };
 
 /// Answer of a member to a status query.
@@ -113,6 +119,8 @@
     std::uint64_t version = 0;
     std::map<core::host_id, vote> votes;
     std::chrono::milliseconds store_time{0};
+    /// Era of the store when the claim was read.
+    std::uint64_t era = 0;
 };
 
 enum class write_result
@@ -126,6 +134,8 @@
 {
     write_result result = write_result::unknown;
     std::uint64_t version = 0;
+    /// Era of the store when it was written.
+    std::uint64_t era = 0;
 };
 
 /// The claim row of the group was read or changed.
@@ -135,6 +145,8 @@
     std::uint64_t version = 0;
     /// Time since the claim was made.
     std::chrono::milliseconds age{0};
+    /// Era of the store when the row was read.
+    std::uint64_t era = 0;
 };
 
 struct store_failed
@@ -279,6 +291,14 @@
     group_view view;
     std::optional<core::time_point> suspected_since;
     std::uint64_t token = 0;
+    /// Highest token that this host has seen or used.
+    std::uint64_t highest_token = 0;
+    /// Newest era of the store that this host has seen, and when it saw that
+    /// the store had been restored.
+    std::uint64_t store_era = 0;
+    std::optional<core::time_point> restored_at;
+    /// Era in which the last claim of this host was made.
+    std::uint64_t claim_era = 0;
     /// Primary that the last claim of this host replaces.
     core::server_id replaced;
     /// Time before which that claim was not made.
--- a/libs/takeover/include/godwitbarrow/takeover/row.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/row.hpp
@@ -23,6 +23,8 @@
     std::chrono::milliseconds claimed_at{0};
     /// Whether replicas may still be paused for this claim or an earlier one.
     bool replicas_paused = false;
+    /// Era of the store in which the claim was made.
+    std::uint64_t era = 0;
 };
 
 /// Statement of a host that it cannot reach the primary. There is one row per
--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fencing.hpp"
+#include "restoring.hpp"
 #include "resuming.hpp"
 
 namespace godwitbarrow::takeover::detail
@@ -76,6 +77,19 @@
          rows.store_time}});
 }
 
+/// Whether the row is the last claim of this host. One that was written under a
+/// condition of an earlier era counts for nothing.
+bool is_own_claim(const context& ctx, const claim& row)
+{
+    return row.holder == ctx.settings.self && row.token == ctx.state.token &&
+           row.era == ctx.state.store_era;
+}
+
+bool needs_votes(const takeover_state& state)
+{
+    return !state.view.leaving && !state.primary_stepped_down;
+}
+
 }  // namespace
 
 void start_reading_rows(context& ctx)
@@ -90,22 +104,30 @@
     if (state.current_phase != phase::reading)
         return;
     auto next = rows.last_claim.value_or(claim{});
+    note_token(ctx, next.token);
     const bool recent =
         next.token > 0 &&
         is_recent(next.claimed_at, rows.store_time, ctx.settings.claim_ttl);
-    if (recent && next.holder == ctx.settings.self && state.token == next.token)
+    if (recent && is_own_claim(ctx, next))
         return begin_comparison(ctx);
     if (recent && next.holder != ctx.settings.self)
         return pause_for(ctx, ctx.settings.retry_delay);
-    if (!state.view.leaving && !state.primary_stepped_down &&
-        !may_claim(ctx, rows))
+    const bool waits = awaits_lost_claims(ctx);
+    if (needs_votes(state) && (waits || !may_claim(ctx, rows)))
         return cast_vote(ctx, rows);
+    if (waits)
+        return pause_for(ctx, ctx.settings.retry_delay);
+    next.token = next_token(ctx, rows);
+    next.era = rows.era;
     next.holder = ctx.settings.self;
     next.replaced = suspected_primary(state);
     next.claimed_at = rows.store_time;
-    next.replicas_paused =
-        next.replicas_paused || state.view.synchronous_replicas > 0;
-    state.token = ++next.token;
+    next.replicas_paused = next.replicas_paused ||
+                           state.view.synchronous_replicas > 0 ||
+                           state.unfinished.has_value();
+    state.token = next.token;
+    state.claim_era = next.era;
+    note_token(ctx, next.token);
     if (state.replaced != next.replaced)
         state.unanswered_primary_queries = 0;
     state.replaced = next.replaced;
@@ -136,6 +158,10 @@
 void handle_observed_claim(context& ctx, const claim_observed& input)
 {
     note_pauses(ctx, input);
+    // A store that was restored may return a claim of before.
+    if (input.row.token < ctx.state.highest_token)
+        return;
+    note_token(ctx, input.row.token);
     if (!revokes_primary(ctx) || input.row.replaced.value.empty() ||
         input.age >= ctx.settings.claim_ttl)
         return;
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -7,6 +7,7 @@
 #include "context.hpp"
 #include "fencing.hpp"
 #include "promoting.hpp"
+#include "restoring.hpp"
 #include "resuming.hpp"
 
 namespace godwitbarrow::takeover
@@ -177,6 +178,7 @@
 {
     auto& state = ctx.state;
     state.view = input.view;
+    note_era(ctx, input.view.store_era);
     if (!state.view.unreachable)
         state.suspected_since.reset();
     else if (!state.suspected_since)
@@ -196,14 +198,17 @@
     }
     void operator()(const rows_read& input) const
     {
+        note_era(ctx, input.era);
         handle_rows(ctx, input);
     }
     void operator()(const row_written& input) const
     {
+        note_era(ctx, input.era);
         handle_write_result(ctx, input);
     }
     void operator()(const claim_observed& input) const
     {
+        note_era(ctx, input.era);
         handle_observed_claim(ctx, input);
     }
     void operator()(const store_failed&) const
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -1,6 +1,7 @@
 #include "promoting.hpp"
 
 #include "fencing.hpp"
+#include "restoring.hpp"
 #include "resuming.hpp"
 
 namespace godwitbarrow::takeover::detail
@@ -19,7 +20,7 @@
 
 void send_promotion(context& ctx)
 {
-    if (!may_order(ctx))
+    if (!is_claim_current(ctx) || !may_order(ctx))
         return pause_for(ctx, ctx.settings.retry_delay);
     enter_phase(ctx, phase::promoting);
     ++ctx.state.promotion_attempts;
--- /dev/null
+++ b/libs/takeover/src/restoring.cpp
@@ -0,0 +1,62 @@
+#include "restoring.hpp"
+
+#include <algorithm>
+
+namespace godwitbarrow::takeover::detail
+{
+namespace
+{
+
+/// Whether the next step rests on the claim of this host. An order that was
+/// sent is awaited, but not repeated.
+bool relies_on_claim(phase it)
+{
+    return it == phase::claiming || it == phase::fencing ||
+           it == phase::querying || it == phase::revoking;
+}
+
+}  // namespace
+
+void note_era(context& ctx, std::uint64_t era)
+{
+    auto& state = ctx.state;
+    if (era <= state.store_era)
+        return;
+    const bool first = state.store_era == 0;
+    state.store_era = era;
+    if (first)
+        return;
+    state.restored_at = ctx.now;
+    if (!relies_on_claim(state.current_phase))
+        return;
+    report_step(ctx, "claim lost", state.replaced,
+                "store restored, token " + std::to_string(state.token));
+    pause_for(ctx, ctx.settings.retry_delay);
+}
+
+void note_token(context& ctx, std::uint64_t token)
+{
+    ctx.state.highest_token = std::max(ctx.state.highest_token, token);
+}
+
+bool is_claim_current(const context& ctx)
+{
+    return ctx.state.claim_era == ctx.state.store_era;
+}
+
+bool awaits_lost_claims(const context& ctx)
+{
+    const auto& at = ctx.state.restored_at;
+    return at && ctx.now - *at < ctx.settings.claim_ttl;
+}
+
+std::uint64_t next_token(const context& ctx, const rows_read& rows)
+{
+    const auto last = rows.last_claim.value_or(claim{});
+    const auto highest = std::max(ctx.state.highest_token, last.token);
+    const auto lost =
+        last.era == rows.era ? 0 : ctx.settings.lost_token_reserve;
+    return highest + lost + 1;
+}
+
+}  // namespace godwitbarrow::takeover::detail
--- a/libs/takeover/src/resuming.cpp
+++ b/libs/takeover/src/resuming.cpp
@@ -64,10 +64,16 @@
 
 void note_pauses(context& ctx, const claim_observed& input)
 {
-    ctx.state.unfinished.reset();
+    auto& known = ctx.state.unfinished;
+    if (known && known->row.token > input.row.token)
+    {
+        // The store was restored and has lost the claim, not its pauses.
+        known->version = input.version;
+        return;
+    }
+    known.reset();
     if (input.row.replicas_paused)
-        ctx.state.unfinished =
-            pausing_claim{input.row, input.version, ctx.now - input.age};
+        known = pausing_claim{input.row, input.version, ctx.now - input.age};
 }
 
 bool may_end_pauses(const context& ctx)
--- a/libs/takeover/src/row.cpp
+++ b/libs/takeover/src/row.cpp
@@ -54,7 +54,8 @@
                      {"holder", row.holder.value},
                      {"replaced", row.replaced.value},
                      {"claimed_ms", row.claimed_at.count()},
-                     {"replicas_paused", row.replicas_paused}});
+                     {"replicas_paused", row.replicas_paused},
+                     {"era", row.era}});
 }
 
 std::string encode(const vote& row)
@@ -76,9 +77,11 @@
             row.holder = {detail::read_text(object, "holder")};
             row.replaced = {detail::read_text(object, "replaced")};
             row.claimed_at = detail::read_time(object, "claimed_ms");
-            // Rows of earlier versions lack the field.
+            // Rows of earlier versions lack these fields.
             if (const auto* paused = object.if_contains("replicas_paused"))
                 row.replicas_paused = paused->as_bool();
+            if (const auto* era = object.if_contains("era"))
+                row.era = era->to_number<std::uint64_t>();
             return row;
         });
 }
--- a/libs/takeover/test/host.hpp
+++ b/libs/takeover/test/host.hpp
@@ -24,6 +24,7 @@
     core::time_point now{1000s};
     actions last_actions;
     std::chrono::milliseconds store_time{50000};
+    std::uint64_t store_era = 0;
     /// Newest term of the group, which the members report.
     core::term_number newest_term = 3;
     /// Members that stopped receiving, and at which term.
@@ -115,7 +116,9 @@
     rows_read rows_with_votes(int others) const
     {
         rows_read rows;
-        rows.last_claim = claim{4, {"host-9"}, {"z"}, store_time - 60s};
+        rows.last_claim =
+            claim{4, {"host-9"}, {"z"}, store_time - 60s, false, store_era};
+        rows.era = store_era;
         rows.version = 9;
         rows.store_time = store_time;
         for (int n = 0; n < others; ++n)
--- a/test/pooled/deployment.hpp
+++ b/test/pooled/deployment.hpp
@@ -181,6 +181,15 @@
         return it == groups.end() ? 0 : it->second.members.size();
     }
 
+    /// Whether the host knows that the member is leaving.
+    bool leaves(const std::string& server)
+    {
+        std::lock_guard lock(host->decisions.mutex);
+        const auto& all = host->decisions.state.groups.at({"quotes"}).members;
+        const auto it = all.find({server});
+        return it != all.end() && it->second.record.leaving;
+    }
+
     bool is_revoked(const std::string& server)
     {
         std::lock_guard lock(host->decisions.mutex);
--- a/test/pooled/store_standin.cpp
+++ b/test/pooled/store_standin.cpp
@@ -95,6 +95,12 @@
     }
 }
 
+void apply(store_standin& s, store_standin::change what)
+{
+    s.tables[what.table][what.key] = what.row;
+    s.history.push_back(std::move(what));
+}
+
 std::string text_of(const json::value& from, const char* key)
 {
     return std::string(from.at(key).as_string());
@@ -113,8 +119,9 @@
     }
     ++s.version;
     for (const auto& it : call.at("puts").as_array())
-        s.tables[text_of(it, "table")][text_of(it, "key")] = {
-            decode(text_of(it, "value")), s.version, false};
+        apply(s, {text_of(it, "table"),
+                  text_of(it, "key"),
+                  {decode(text_of(it, "value")), s.version, false}});
     wake(s);
     const json::object out{{"ver", s.version}, {"now_ms", store_time()}};
     return {200, json::serialize(out), false};
@@ -238,14 +245,27 @@
 void store_standin::put(const std::string& table, const std::string& key,
                         const std::string& value)
 {
-    tables[table][key] = {value, ++version, false};
+    detail::apply(*this, {table, key, {value, ++version, false}});
     detail::wake(*this);
 }
 
 void store_standin::remove(const std::string& table, const std::string& key)
 {
-    tables[table][key] = {{}, ++version, true};
+    detail::apply(*this, {table, key, {{}, ++version, true}});
     detail::wake(*this);
 }
 
+void store_standin::roll_back_to(std::uint64_t to)
+{
+    ++era;
+    version = to;
+    while (!history.empty() && history.back().row.version > to)
+        history.pop_back();
+    tables.clear();
+    for (const auto& it : history)
+        tables[it.table][it.key] = it.row;
+    for (const auto& it : std::exchange(waiting, {}))
+        detail::answer(*this, it.session, {503, "{}", false});
+}
+
 }  // namespace godwitbarrow::test
--- a/test/pooled/store_standin.hpp
+++ b/test/pooled/store_standin.hpp
@@ -55,6 +55,9 @@
              const std::string& value);
     void remove(const std::string& table, const std::string& key);
 
+    /// Comes back from a copy that was made at this version.
+    void roll_back_to(std::uint64_t to);
+
     store_faults faults;
     /// The next call fails with 410, as after a loss of the history.
     bool history_lost = false;
@@ -82,6 +85,14 @@
     /// Rises each time the store is restored from a copy.
     std::uint64_t era = 1;
     std::map<std::string, std::map<std::string, store_row>> tables;
+    struct change
+    {
+        std::string table;
+        std::string key;
+        store_row row;
+    };
+    /// All changes, in order.
+    std::vector<change> history;
     std::vector<waiting_call> waiting;
     standins::http_server_ptr server;
 };
--- a/test/pooled/store_test.cpp
+++ b/test/pooled/store_test.cpp
@@ -118,4 +118,67 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(when_the_store_comes_back_from_a_copy)
+
+struct restored_deployment : deployment
+{
+    std::uint64_t copied = 0;
+
+    restored_deployment()
+    {
+        wait_until([&] { return has_row("hosts", "host-1"); });
+        at_standins(
+            [&]
+            {
+                copied = store.version;
+                configure(2);
+            });
+        wait_until([&] { return configured_version() == 2; });
+    }
+
+    bool has_row(const std::string& table, const std::string& key)
+    {
+        bool out = false;
+        at_standins([&] { out = store.tables[table].count(key) > 0; });
+        return out;
+    }
+
+    void restore(std::uint64_t to)
+    {
+        at_standins([&] { store.roll_back_to(to); });
+    }
+};
+
+// Guards against a configuration that goes back: a table that is read anew
+// holds the one before.
+BOOST_FIXTURE_TEST_CASE(keeps_the_newest_configuration, restored_deployment)
+{
+    restore(copied);
+    wait_until([&] { return host->store.newest_era.load() == 2; });
+    wait_until([&] { return awaits_changes("op"); });
+    BOOST_TEST(configured_version() == 2U);
+    at_standins([&] { configure(3); });
+    wait_until([&] { return configured_version() == 3; });
+}
+
+// Guards against changes of the members that stay unknown since their versions
+// are below those of the earlier era.
+BOOST_FIXTURE_TEST_CASE(takes_registrations_of_lower_versions,
+                        restored_deployment)
+{
+    restore(copied);
+    wait_until([&] { return host->store.newest_era.load() == 2; });
+    at_standins([&] { register_member(*members.back(), true); });
+    wait_until([&] { return leaves("c"); });
+}
+
+// Guards against a host that others do not count until it writes again.
+BOOST_FIXTURE_TEST_CASE(writes_the_row_of_the_host_again, restored_deployment)
+{
+    restore(0);
+    wait_until([&] { return has_row("hosts", "host-1"); });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/pooled/table_watch_test.cpp
+++ b/test/pooled/table_watch_test.cpp
@@ -118,3 +118,72 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_table_of_a_store_that_was_restored)
+
+struct restored_table : followed_table
+{
+    std::uint64_t copied = 0;
+
+    restored_table()
+    {
+        store.put(table, "a", "kept");
+        copied = store.version;
+        store.put(table, "b", "lost");
+        follow();
+        run_until([&] { return known == stored(); });
+    }
+
+    void change(const std::string& value)
+    {
+        store.put(table, "c", value);
+        run_until([&] { return known == stored(); });
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(is_read_anew, restored_table)
+{
+    store.roll_back_to(copied);
+    run_until([&] { return known == stored(); });
+    BOOST_TEST(pages.back().era == 2U);
+    change("followed");
+    BOOST_TEST(whole_reads == 2U);
+}
+
+// Guards against following the changes from a version that was given out again:
+// the rows that were written under it stayed unknown.
+BOOST_FIXTURE_TEST_CASE(is_not_followed_from_a_version_of_before,
+                        restored_table)
+{
+    store.roll_back_to(copied);
+    for (const auto* value : {"1", "2", "3"})
+        store.put(table, "d", value);
+    store.put(table, "a", "written again");
+    const auto after_all = ++store.version;
+    run_until([&] { return known == stored(); });
+    store.put("other", "x", "y");
+    change("followed");
+    BOOST_TEST(pages.back().version > after_all);
+}
+
+BOOST_AUTO_TEST_SUITE(while_its_pages_are_read)
+
+// Guards against joining pages of the store before and after the restore.
+BOOST_FIXTURE_TEST_CASE(is_read_anew, table_of_many_pages)
+{
+    store.page_listed = [this]
+    {
+        store.page_listed = {};
+        store.roll_back_to(1);
+        for (const auto* key : {"d", "e", "g"})
+            store.put(table, key, "written again");
+    };
+    follow();
+    run_until([&] { return !pages.empty(); });
+    BOOST_TEST((known == stored()));
+    BOOST_TEST(pages.front().era == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
