--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -73,6 +73,13 @@
     std::atomic<bool> claims_followed{false};
 };
 
+/// What the answers of the store have shown.
+struct store_observation
+{
+    /// Rises each time the store is restored from a copy.
+    std::atomic<std::uint64_t> newest_era{0};
+};
+
 struct app
 {
     explicit app(host_settings it)
@@ -93,6 +100,7 @@
     takeover_table takeovers;
     mesh_table mesh;
     configuration_table configuration;
+    store_observation store;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/configuration_exchange.cpp
+++ b/apps/proxy/src/pooled/configuration_exchange.cpp
@@ -145,6 +145,12 @@
     return true;
 }
 
+void note_in_force(app& it, std::uint64_t version)
+{
+    std::lock_guard lock(it.configuration.mutex);
+    it.configuration.in_force = version;
+}
+
 std::uint64_t version_told_by(const app& it, const core::host_id& host)
 {
     std::lock_guard lock(it.configuration.mutex);
@@ -157,7 +163,7 @@
     std::lock_guard lock(it.configuration.mutex);
     const auto n = it.configuration.told.find(host);
     return n == it.configuration.told.end() ||
-           n->second <= it.configuration.version;
+           n->second <= it.configuration.in_force;
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/configuration_exchange.hpp
+++ b/apps/proxy/src/pooled/configuration_exchange.hpp
@@ -20,9 +20,12 @@
 void exchange_configurations(app& it, configuration_handler handler);
 
 /// Tells the linked hosts of a configuration that is about to be in force here.
-/// Returns false if one of this version or a later one is in force.
+/// Returns false if one of this version or a later one was announced.
 bool announce_configuration(app& it, std::uint64_t version, std::string text);
 
+/// An announced configuration is in force.
+void note_in_force(app& it, std::uint64_t version);
+
 /// The highest version that the host has told on its present link, 0 if none.
 std::uint64_t version_told_by(const app& it, const core::host_id& host);
 
--- a/apps/proxy/src/pooled/configuration_table.hpp
+++ b/apps/proxy/src/pooled/configuration_table.hpp
@@ -17,8 +17,10 @@
 struct configuration_table
 {
     mutable core::ordered_mutex<core::lock_level::configuration> mutex;
-    /// 0 before the first one.
+    /// Of the newest configuration; 0 before the first one.
     std::uint64_t version = 0;
+    /// The version that decisions are made under, shortly after `version`.
+    std::uint64_t in_force = 0;
     /// As the operator wrote it.
     std::string text;
     /// Hosts with an open link; 0 if they have told no version.
--- a/apps/proxy/src/pooled/row_share.cpp
+++ b/apps/proxy/src/pooled/row_share.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 
 #include "mesh.hpp"
+#include "store_link.hpp"
 
 namespace godwitbarrow::proxy::pooled
 {
@@ -70,6 +71,7 @@
                  const std::optional<core::host_id>& from)
 {
     const auto now = core::runtime_clock::now();
+    note_store_era(it, update.era);
     const auto result = hosts::apply(table.copy, update, now);
     if (result == hosts::update_result::gap && from)
         send_to_host(it, *from, peer::topic::rows,
--- a/libs/hosts/include/godwitbarrow/hosts/liveness.hpp
+++ b/libs/hosts/include/godwitbarrow/hosts/liveness.hpp
@@ -41,6 +41,8 @@
 {
     std::map<core::host_id, known_host> hosts;
     bool rows_read = false;
+    /// Era of the store at the last read.
+    std::uint64_t era = 0;
 };
 
 /// The host was heard itself.
@@ -52,7 +54,8 @@
                 core::time_point now);
 
 /// Takes the table of hosts. A row that changed since the last time shows that
-/// its host lived when the read began.
+/// its host lived when the read began, unless the store was restored from a
+/// copy since.
 void note_rows(liveness& it, const table_copy& rows, core::time_point now);
 
 bool is_live(const known_host& it, const liveness_settings& settings,
--- a/libs/hosts/src/liveness.cpp
+++ b/libs/hosts/src/liveness.cpp
@@ -17,21 +17,13 @@
     it.leaving = leaving;
 }
 
-void note_row(liveness& it, const table_copy& rows, const table_row& row,
-              core::time_point now)
+void take_row(known_host& to, const table_row& row)
 {
-    auto& host = it.hosts[{row.key}];
-    if (host.row_version == row.version)
-        return;
     auto read = decode_host(row.key, row.value);
-    host.row.reset();
+    to.row.reset();
     if (ok(read))
-        host.row = std::get<peer_host>(std::move(read));
-    host.row_version = row.version;
-    if (it.rows_read)
-        note(host, rows.confirmed, host.row && host.row->leaving);
-    else
-        host.found = now;
+        to.row = std::get<peer_host>(std::move(read));
+    to.row_version = row.version;
 }
 
 }  // namespace
@@ -52,9 +44,20 @@
 
 void note_rows(liveness& it, const table_copy& rows, core::time_point now)
 {
+    const bool restored = it.rows_read && it.era != rows.era;
     for (const auto& [key, row] : rows.rows)
-        detail::note_row(it, rows, row, now);
+    {
+        auto& host = it.hosts[{key}];
+        if (host.row_version == row.version && !restored)
+            continue;
+        detail::take_row(host, row);
+        if (!it.rows_read)
+            host.found = now;
+        else if (!restored)
+            detail::note(host, rows.confirmed, host.row && host.row->leaving);
+    }
     it.rows_read = true;
+    it.era = rows.era;
 }
 
 bool is_live(const known_host& it, const liveness_settings& settings,
--- a/test/pooled/deployment.hpp
+++ b/test/pooled/deployment.hpp
@@ -166,6 +166,7 @@
             {
                 store.waiting.clear();
                 godwitbarrow::standins::stop(store.server);
+                godwitbarrow::standins::stop(store.side_server);
             });
         // Lets the handlers of the closed sessions run.
         at_standins([] {});
@@ -181,6 +182,15 @@
         return it == groups.end() ? 0 : it->second.members.size();
     }
 
+    /// Whether the host knows that the member is leaving.
+    bool leaves(const std::string& server)
+    {
+        std::lock_guard lock(host->decisions.mutex);
+        const auto& all = host->decisions.state.groups.at({"quotes"}).members;
+        const auto it = all.find({server});
+        return it != all.end() && it->second.record.leaving;
+    }
+
     bool is_revoked(const std::string& server)
     {
         std::lock_guard lock(host->decisions.mutex);
