Spare calls at the start of hosts and bytes between data centres

A host that starts waits for its readers instead of following the tables at once, hosts that start together find each other in the first list, and heartbeats to other data centres carry less. A host that reads in place of its readers repeats failed calls less often.

hosts_test passes, and the suite hosts_that_are_linked of pooled_test.

--- a/apps/proxy/src/pooled/host_census.cpp
+++ b/apps/proxy/src/pooled/host_census.cpp
@@ -21,6 +21,12 @@
 /// Between two looks at the hosts.
 constexpr milliseconds look_interval{250};
 constexpr milliseconds heartbeat_interval{1000};
+/// Bytes between data centres cost more, so not each heartbeat tells them of
+/// other hosts.
+constexpr std::uint64_t far_signs_every = 3;
+/// From the start to the read of the list, so that hosts which start together
+/// find each other in it.
+constexpr milliseconds list_delay{300};
 /// Longest wait for the list of hosts before this host decides without it.
 constexpr milliseconds list_wait{1000};
 /// Between two writes of the row of a host that others may only see there.
@@ -105,28 +111,38 @@
     handle(it, pooler::host_count_changed{count});
 }
 
-void send_heartbeats(app& it, core::time_point now)
+std::set<core::host_id> hosts_nearby(const app& it)
 {
-    hosts::status beat;
-    beat.leaving = it.hosts.reading.self.leaving;
-    beat.reads_store = it.hosts.role.reading && store_answers(it);
-    beat.wants_rows = it.hosts.role.wants_rows;
-    beat.tables = known_positions(it);
-    std::set<core::host_id> own_data_centre;
+    std::set<core::host_id> out;
     for (const auto& host : other_hosts(it))
         if (host.data_centre == it.settings.data_centre)
-            own_data_centre.insert(host.host);
+            out.insert(host.host);
+    return out;
+}
+
+void send_heartbeats(app& it, core::time_point now)
+{
+    const auto& role = it.hosts.role;
+    hosts::status common;
+    common.leaving = it.hosts.reading.self.leaving;
+    common.reads_store = role.reading && store_answers(it);
+    common.wants_rows = role.wants_rows;
+    const auto nearby = hosts_nearby(it);
+    const bool signs_far = it.hosts.heartbeats++ % far_signs_every == 0;
     for (const auto& [name, host] : it.hosts.linked)
     {
-        const bool followed = it.hosts.role.links.count(name) > 0;
+        const bool followed = role.links.count(name) > 0;
         if (!followed && !host.follows)
             continue;
-        auto out = beat;
-        out.follows = followed;
-        if (host.follows)
-            out.signs = hosts::signs_of(it.hosts.known, it.hosts.liveness,
-                                        own_data_centre.count(name) == 0, now);
-        send_to_host(it, name, peer::topic::hosts, hosts::encode(out));
+        auto beat = common;
+        beat.follows = followed;
+        const bool far = nearby.count(name) == 0;
+        if (host.follows && (!far || signs_far))
+            beat.signs =
+                hosts::signs_of(it.hosts.known, it.hosts.liveness, far, now);
+        if (host.wants_rows)
+            beat.tables = known_positions(it);
+        send_to_host(it, name, peer::topic::hosts, hosts::encode(beat));
     }
     it.hosts.next_heartbeat = now + heartbeat_interval;
 }
@@ -150,7 +166,7 @@
         log_role(now);
     if (first || before.links != now.links)
         want_links(it, peer::topic::hosts, now.links);
-    set_reading(it, now.reading);
+    set_reading(it, now);
     return first || before.links != now.links ||
            before.wants_rows != now.wants_rows || before.reading != now.reading;
 }
@@ -164,7 +180,7 @@
         return;
     auto live = hosts::live_hosts(it.hosts.known, it.hosts.liveness, now);
     publish_hosts(it, live, now);
-    const bool answered = !it.hosts.role.reading || store_answers(it);
+    const bool answered = !it.hosts.role.reading || !store_fails(it);
     const bool changed =
         apply_role(it, hosts::choose_role(it.hosts.readers, it.hosts.reading,
                                           std::move(live), answered, now));
@@ -254,9 +270,14 @@
 void count_hosts(app& it)
 {
     boost::asio::post(it.hosts.strand, [&it] { detail::begin_census(it); });
-    follow_table(it, detail::host_table_name, detail::host_table_times,
-                 [&it](const platform::row_page&, bool)
-                 { detail::take_host_rows(it); });
+    after(it, detail::list_delay,
+          [&it]
+          {
+              follow_table(it, detail::host_table_name,
+                           detail::host_table_times,
+                           [&it](const platform::row_page&, bool)
+                           { detail::take_host_rows(it); });
+          });
 }
 
 void announce_leaving(app& it)
--- a/apps/proxy/src/pooled/host_table.hpp
+++ b/apps/proxy/src/pooled/host_table.hpp
@@ -72,6 +72,7 @@
     /// Whether roles are decided: once the hosts are known, or late.
     bool role_known = false;
     core::time_point next_heartbeat;
+    std::uint64_t heartbeats = 0;
 };
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/row_share.cpp
+++ b/apps/proxy/src/pooled/row_share.cpp
@@ -108,6 +108,13 @@
         take_update(it, n->second, *update, from);
 }
 
+watch_pace pace_of(const hosts::reader_role& role)
+{
+    if (!role.reading)
+        return watch_pace::resting;
+    return role.appointed ? watch_pace::prompt : watch_pace::relaxed;
+}
+
 void begin_to_follow(app& it, const std::string& name, const watch_times& times,
                      row_handler handler)
 {
@@ -124,7 +131,7 @@
                         std::nullopt);
         });
     if (it.hosts.role_known)
-        set_resting(it, table.watch, !it.hosts.role.reading);
+        set_pace(it, table.watch, pace_of(it.hosts.role));
 }
 
 }  // namespace
@@ -200,10 +207,17 @@
         { return n.second.copy.known && is_answered(n.second.watch); });
 }
 
-void set_reading(app& it, bool reading)
+bool store_fails(const app& it)
+{
+    return std::any_of(it.hosts.tables.begin(), it.hosts.tables.end(),
+                       [](const auto& n)
+                       { return !is_answered(n.second.watch); });
+}
+
+void set_reading(app& it, const hosts::reader_role& role)
 {
     for (auto& [name, table] : it.hosts.tables)
-        set_resting(it, table.watch, !reading);
+        set_pace(it, table.watch, detail::pace_of(role));
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/row_share.hpp
+++ b/apps/proxy/src/pooled/row_share.hpp
@@ -30,10 +30,13 @@
 
 std::vector<hosts::table_position> known_positions(const app& it);
 
-/// Whether the store answered the last call for each table.
+/// Whether each table is known and the store answered the last call for it.
 bool store_answers(const app& it);
 
+/// Whether the last call for some table failed.
+bool store_fails(const app& it);
+
 /// Has this host read the tables, or rest while others do.
-void set_reading(app& it, bool reading);
+void set_reading(app& it, const hosts::reader_role& role);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/table_watch.cpp
+++ b/apps/proxy/src/pooled/table_watch.cpp
@@ -17,7 +17,7 @@
     /// Reads anew while unset.
     std::optional<watch_position> known;
     bool reachable = true;
-    bool resting = true;
+    watch_pace pace = watch_pace::resting;
     /// Whether there is neither a call nor a pause before one.
     bool idle = false;
     watch_handler changed;
@@ -28,12 +28,14 @@
 namespace
 {
 
-/// Longest time that the store holds a call without news.
-constexpr std::chrono::milliseconds longest_wait{3000};
+/// Longest time that the store holds a call without news. Hosts that rely on a
+/// reader learn 0.75 s after it that a call was lost.
+constexpr std::chrono::milliseconds longest_wait{2500};
 constexpr std::chrono::milliseconds shortest_wait{200};
 /// Longest time in which the store answers when it has news.
 constexpr std::chrono::milliseconds longest_answer{1200};
 constexpr std::chrono::milliseconds retry_pause{300};
+constexpr std::chrono::milliseconds relaxed_retry_pause{1500};
 /// For the call that finds the news after a lost one: a new connection and an
 /// answer, on a host that is slow.
 constexpr std::chrono::milliseconds repeated_call{500};
@@ -144,7 +146,9 @@
         note_reachable(*w, false, e->message);
         if (e->kind == core::error_kind::conflict)
             w->known.reset();
-        return follow_after(it, w, retry_pause);
+        return follow_after(
+            it, w,
+            w->pace == watch_pace::relaxed ? relaxed_retry_pause : retry_pause);
     }
     note_reachable(*w, true, {});
     const auto& page = std::get<platform::row_page>(got);
@@ -192,7 +196,7 @@
 
 void follow(app& it, const table_watch_ptr& w)
 {
-    w->idle = w->known && w->resting;
+    w->idle = w->known && w->pace == watch_pace::resting;
     if (w->idle)
         return;
     if (w->known)
@@ -240,10 +244,10 @@
     return w;
 }
 
-void set_resting(app& it, const table_watch_ptr& w, bool resting)
+void set_pace(app& it, const table_watch_ptr& w, watch_pace pace)
 {
-    w->resting = resting;
-    if (!resting && w->idle)
+    w->pace = pace;
+    if (pace != watch_pace::resting && w->idle)
         detail::follow(it, w);
 }
 
--- a/apps/proxy/src/pooled/table_watch.hpp
+++ b/apps/proxy/src/pooled/table_watch.hpp
@@ -60,13 +60,22 @@
                 std::chrono::milliseconds call_timeout, page_handler handler);
 
 /// Reads the table and passes on its rows, then what changes in it. The watch
-/// rests once the table is known, until `set_resting`. This and what follows
+/// rests once the table is known, until `set_pace`. This and what follows
 /// is called on the strand of `app::hosts`, on which the handler runs.
 table_watch_ptr watch_table(app& it, std::string_view table,
                             const watch_times& times, watch_handler handler);
 
-/// Makes no more calls from now on, or goes on with what changed meanwhile.
-void set_resting(app& it, const table_watch_ptr& w, bool resting);
+enum class watch_pace
+{
+    /// Makes no calls.
+    resting,
+    /// Repeats a failed call late, as other hosts repeat theirs.
+    relaxed,
+    prompt
+};
+
+/// A watch that rested goes on with what changed meanwhile.
+void set_pace(app& it, const table_watch_ptr& w, watch_pace pace);
 
 /// Goes on from here, as another host has read the table so far.
 void advance_watch(const table_watch_ptr& w, const watch_position& to);
--- a/libs/hosts/include/godwitbarrow/hosts/readers.hpp
+++ b/libs/hosts/include/godwitbarrow/hosts/readers.hpp
@@ -22,6 +22,9 @@
     std::chrono::milliseconds silence{2500};
     /// How long one that did not answer is passed over.
     std::chrono::milliseconds avoided{10000};
+    /// A host whose readers get no answers of the store reads for itself after
+    /// this long: most often one of them gets the next answer.
+    std::chrono::milliseconds unserved{500};
     /// A host that began to read for itself goes on for this long after its
     /// readers are back.
     std::chrono::milliseconds settled{3000};
@@ -42,9 +45,11 @@
     std::map<core::host_id, core::time_point> avoided_until;
     /// Since when a reader is heard that reads the store.
     std::optional<core::time_point> served_since;
-    bool reading = true;
-    /// Of the rows that other hosts send, because the store does not answer.
-    bool wants_rows = false;
+    /// Since when there is none.
+    std::optional<core::time_point> unserved_since;
+    /// Whether there has been one since the start.
+    bool served_once = false;
+    bool reading = false;
 };
 
 /// The readers of a data centre in their order, the same on all hosts that see
--- a/libs/hosts/src/readers.cpp
+++ b/libs/hosts/src/readers.cpp
@@ -88,19 +88,25 @@
                        });
 }
 
-/// Reads until a reader has been heard for a while.
+void note_served(reader_state& it, bool served, core::time_point now)
+{
+    auto& since = served ? it.served_since : it.unserved_since;
+    auto& other = served ? it.unserved_since : it.served_since;
+    other.reset();
+    if (!since)
+        since = now;
+    it.served_once = it.served_once || served;
+}
+
 void decide_reading(reader_state& it, const reader_settings& settings,
-                    bool appointed, bool served, core::time_point now)
+                    bool appointed, core::time_point now)
 {
-    if (!served)
-        it.served_since.reset();
-    else if (!it.served_since)
-        it.served_since = now;
-    const bool settled =
-        it.served_since && now - *it.served_since >= settings.settled;
-    if (appointed || !served)
+    // A host that starts knows the rows of that moment.
+    const auto patience = it.served_once ? settings.unserved : settings.silence;
+    if (appointed ||
+        (it.unserved_since && now - *it.unserved_since >= patience))
         it.reading = true;
-    else if (settled)
+    else if (it.served_since && now - *it.served_since >= settings.settled)
         it.reading = false;
 }
 
@@ -163,8 +169,8 @@
     out.links.erase(self.host);
     detail::follow_only(it, out.links, now);
 
-    const bool served = detail::is_served(it, readers);
-    detail::decide_reading(it, settings, out.appointed, served, now);
+    detail::note_served(it, detail::is_served(it, readers), now);
+    detail::decide_reading(it, settings, out.appointed, now);
     out.reading = it.reading;
     out.wants_rows = !out.appointed || !answered;
     return out;
