--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "caller_table.hpp"
+#include "configuration_table.hpp"
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/lock_order.hpp"
 #include "godwitbarrow/gateway/admin.hpp"
@@ -75,6 +76,13 @@
     std::atomic<bool> claims_followed{false};
 };
 
+/// What the answers of the store have shown.
+struct store_observation
+{
+    /// Rises each time the store is restored from a copy.
+    std::atomic<std::uint64_t> newest_era{0};
+};
+
 struct app
 {
     explicit app(host_settings it)
@@ -98,6 +106,8 @@
     mesh_table mesh;
     relay_table relays;
     quota_table quotas;
+    configuration_table configuration;
+    store_observation store;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -12,6 +12,7 @@
 
 #include "app.hpp"
 #include "caller_guard.hpp"
+#include "configuration_exchange.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "host_census.hpp"
 #include "links.hpp"
@@ -168,6 +169,8 @@
     accept_heartbeats(it);
     accept_shared_rows(it);
     start_quotas(it);
+    exchange_configurations(
+        it, [&it](const std::string& text) { apply_configuration(it, text); });
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
--- a/libs/core/include/godwitbarrow/core/lock_order.hpp
+++ b/libs/core/include/godwitbarrow/core/lock_order.hpp
@@ -18,6 +18,7 @@
     connections = 60,
     callers = 63,
     relays = 65,
+    configuration = 66,
     quotas = 67,
     peers = 70,
     metrics = 80
--- a/test/pooled/fleet.hpp
+++ b/test/pooled/fleet.hpp
@@ -3,131 +3,201 @@
 #include <algorithm>
 
 #include "deployment.hpp"
-#include "pooled/owner_watch.hpp"
+#include "pooled/configuration_exchange.hpp"
+#include "pooled/mesh.hpp"
 
-/// Fixture: four hosts that share members with too few connections for all, so
-/// that three of them own the group.
+/// Fixture: hosts that are linked to each other, and their store.
 namespace godwitbarrow::test
 {
 
-struct fleet : deployment
+struct fleet_host
 {
-    struct running_host
+    std::unique_ptr<proxy::pooled::app> app;
+    std::thread thread;
+
+    /// `prepare` runs before the host starts.
+    explicit fleet_host(const proxy::pooled::host_settings& settings,
+                        const std::function<void(proxy::pooled::app&)>& prepare)
+        : app(std::make_unique<proxy::pooled::app>(settings))
     {
-        std::unique_ptr<proxy::pooled::app> app;
-        std::thread thread;
-    };
+        prepare(*app);
+        BOOST_REQUIRE(ok(proxy::pooled::start(*app)));
+        thaw();
+    }
 
-    const core::group_id group{"quotes"};
-    std::vector<running_host> hosts;
+    ~fleet_host()
+    {
+        if (thread.joinable())
+            freeze();
+    }
 
-    fleet()
+    /// Stops all work of the host; its connections stay open.
+    void freeze()
     {
-        at_standins([this] { configure(2, 0, 6); });
-        for (const auto* name : {"host-2", "host-3", "host-4", "host-5"})
-            add_host(name);
-        for (auto& it : hosts)
-            wait_until([&] { return is_settled(*it.app); });
+        app->io.stop();
+        thread.join();
     }
 
-    ~fleet()
+    void thaw()
     {
-        for (auto& it : hosts)
-            stop(it);
+        app->io.restart();
+        thread = std::thread([this] { proxy::pooled::run_workers(*app); });
     }
 
-    void add_host(const std::string& name)
+    /// Runs where the host keeps what it knows of others.
+    template <class Action>
+    auto at_hosts(Action&& action)
     {
-        auto settings = host->settings;
-        settings.name = {name};
-        settings.peers = local(0);
-        running_host it;
-        it.app = std::make_unique<proxy::pooled::app>(std::move(settings));
-        BOOST_REQUIRE(ok(proxy::pooled::start(*it.app)));
-        it.thread = std::thread([app = it.app.get()]
-                                { proxy::pooled::run_workers(*app); });
-        hosts.push_back(std::move(it));
+        using result = decltype(action(app->hosts));
+        std::promise<result> done;
+        asio::post(app->hosts.strand,
+                   [&] { done.set_value(action(app->hosts)); });
+        return done.get_future().get();
     }
 
-    /// Ends the host as a loss of power does.
-    static void stop(running_host& it)
+    std::uint64_t configuration() const
     {
-        if (!it.app)
-            return;
-        it.app->io.stop();
-        it.thread.join();
-        it.app.reset();
+        std::lock_guard lock(app->decisions.mutex);
+        return app->decisions.state.active_configuration.version;
     }
 
-    static std::uint16_t port_of(const running_host& it)
+    std::size_t live_hosts() const
     {
-        return it.app->acceptor.local_endpoint().port();
+        std::lock_guard lock(app->decisions.mutex);
+        return app->decisions.state.live_hosts;
     }
 
-    /// Whether the host knows the owners and has a link to each.
-    bool is_settled(proxy::pooled::app& it) const
+    bool reads()
     {
-        std::lock_guard lock(it.relays.mutex);
-        const auto g = it.relays.groups.find(group);
-        if (g == it.relays.groups.end() || g->second.owners.size() != 3)
-            return false;
-        return std::all_of(g->second.owners.begin(), g->second.owners.end(),
-                           [&](const auto& owner)
-                           {
-                               return owner.host == it.settings.name ||
-                                      it.relays.peers[owner.host].linked;
-                           });
+        return at_hosts([](const auto& n) { return n.role.reading; });
+    }
+
+    /// Whether its role is decided and the hosts that it relies on answer.
+    bool is_settled()
+    {
+        return at_hosts(
+            [](const auto& n)
+            {
+                const auto& all = n.readers.followed;
+                return n.role_known && n.role.reading == n.role.appointed &&
+                       std::all_of(all.begin(), all.end(),
+                                   [](const auto& h)
+                                   { return h.second.heard.has_value(); });
+            });
     }
+};
+
+struct fleet
+{
+    asio::io_context io;
+    asio::executor_work_guard<asio::io_context::executor_type> work{
+        io.get_executor()};
+    store_standin store{io};
+    std::thread store_thread;
+    std::map<std::string, std::unique_ptr<fleet_host>> hosts;
 
-    /// The host that is no owner.
-    running_host& entry()
+    fleet()
     {
-        for (auto& it : hosts)
-            if (it.app && !proxy::pooled::serves_group(*it.app, group))
-                return it;
-        BOOST_FAIL("all hosts are owners");
-        return hosts.front();
+        telemetry::start_logging(telemetry::log_level::error);
+        configure(1);
+        store_thread = std::thread([this] { io.run(); });
     }
 
-    std::vector<running_host*> owners()
+    ~fleet()
     {
-        std::vector<running_host*> out;
-        const auto* other = &entry();
-        for (auto& it : hosts)
-            if (&it != other)
-                out.push_back(&it);
-        return out;
+        hosts.clear();
+        at_store(
+            [this]
+            {
+                store.waiting.clear();
+                godwitbarrow::standins::stop(store.server);
+                godwitbarrow::standins::stop(store.side_server);
+            });
+        at_store([] {});
+        io.stop();
+        store_thread.join();
     }
 
-    /// The owner that serves the only relayed session of the entry host.
-    running_host& owner_in_use()
+    /// Names begin with the data centre.
+    void start(
+        const std::string& name, bool at_side_address = false,
+        const std::function<void(proxy::pooled::app&)>& prepare = [](auto&) {})
     {
-        core::host_id name;
-        {
-            auto& relays = entry().app->relays;
-            std::lock_guard lock(relays.mutex);
-            BOOST_REQUIRE(relays.outbound.size() == 1U);
-            name = relays.outbound.begin()->second.owner;
-        }
-        const auto it = std::find_if(hosts.begin(), hosts.end(),
-                                     [&](const auto& n)
-                                     { return n.app->settings.name == name; });
-        BOOST_REQUIRE((it != hosts.end()));
-        return *it;
+        proxy::pooled::host_settings it;
+        it.name = {name};
+        it.data_centre = {name.substr(0, name.find('-'))};
+        it.callers = local(0);
+        it.readiness = local(0);
+        it.peers = local(0);
+        it.store = local(at_side_address ? store.side_port() : store.port());
+        it.promotions = it.store;
+        it.change_limit = 6s;
+        hosts[name] = std::make_unique<fleet_host>(it, prepare);
     }
 
-    static std::size_t member_connections(const running_host& it)
+    void start_all(const std::vector<std::string>& names)
     {
-        std::lock_guard lock(it.app->decisions.mutex);
-        return it.app->decisions.state.connections.size();
+        for (const auto& name : names)
+            start(name);
+        wait_until([this] { return all_settled(); });
     }
 
-    unsigned writes()
+    bool all_settled()
     {
-        unsigned out = 0;
-        at_standins([&] { out = data->writes; });
+        return std::all_of(hosts.begin(), hosts.end(),
+                           [this](const auto& n) {
+                               return n.second->live_hosts() == hosts.size() &&
+                                      n.second->is_settled();
+                           });
+    }
+
+    /// The names of the hosts that read the store, or of those that do not.
+    std::vector<std::string> that_read(bool reads)
+    {
+        std::vector<std::string> out;
+        for (const auto& [name, host] : hosts)
+            if (host->reads() == reads)
+                out.push_back(name);
         return out;
     }
+
+    template <class Action>
+    void at_store(Action&& action)
+    {
+        std::promise<void> done;
+        asio::post(io,
+                   [&]
+                   {
+                       action();
+                       done.set_value();
+                   });
+        done.get_future().wait();
+    }
+
+    /// As the operator does while the hosts run.
+    void write_configuration(int version)
+    {
+        at_store([&] { configure(version); });
+    }
+
+    template <class Condition>
+    void wait_until(Condition&& done,
+                    std::chrono::milliseconds limit = test_limit)
+    {
+        const auto end = std::chrono::steady_clock::now() + limit;
+        while (!done() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(5ms);
+        BOOST_REQUIRE(done());
+    }
+
+private:
+    void configure(int version)
+    {
+        store.put("op", "config",
+                  R"({"version":)" + std::to_string(version) +
+                      R"(,"routes":[],"services":[],)"
+                      R"("limits":{"tx_idle_ms":3000}})");
+    }
 };
 
 }  // namespace godwitbarrow::test
--- a/test/pooled/relay_test.cpp
+++ b/test/pooled/relay_test.cpp
@@ -1,11 +1,11 @@
-#include "fleet.hpp"
+#include "owner_fleet.hpp"
 
 using namespace godwitbarrow;
 using namespace godwitbarrow::test;
 
 BOOST_AUTO_TEST_SUITE(a_host_that_owns_no_share_of_a_group)
 
-BOOST_FIXTURE_TEST_CASE(relays_the_sessions_of_its_callers, fleet)
+BOOST_FIXTURE_TEST_CASE(relays_the_sessions_of_its_callers, owner_fleet)
 {
     caller it(port_of(entry()), "newest");
     BOOST_TEST(it.line() == "READY I -");
@@ -30,7 +30,8 @@
 BOOST_AUTO_TEST_SUITE(when_the_owner_is_lost)
 
 // Guards against a write that is sent to a second owner and takes effect twice.
-BOOST_FIXTURE_TEST_CASE(disconnects_its_callers_and_repeats_nothing, fleet)
+BOOST_FIXTURE_TEST_CASE(disconnects_its_callers_and_repeats_nothing,
+                        owner_fleet)
 {
     caller it(port_of(entry()), "newest");
     it.line();
@@ -48,7 +49,7 @@
 
 // Guards against callers that wait for an owner which is frozen or cut off:
 // its link stays open.
-BOOST_FIXTURE_TEST_CASE(or_frozen_disconnects_them_too, fleet)
+BOOST_FIXTURE_TEST_CASE(or_frozen_disconnects_them_too, owner_fleet)
 {
     caller it(port_of(entry()), "newest");
     it.line();
@@ -66,7 +67,7 @@
 
 BOOST_AUTO_TEST_SUITE(when_a_host_is_told_to_stop)
 
-struct open_transaction : fleet
+struct open_transaction : owner_fleet
 {
     caller idle{port_of(entry()), "newest"};
     caller it{port_of(entry()), "newest"};
@@ -124,7 +125,7 @@
 
 // Guards against a primary that is replaced late: hosts that own no share of
 // the group see nothing of it, and their votes were waited for.
-BOOST_FIXTURE_TEST_CASE(replace_it_without_votes_of_other_hosts, fleet)
+BOOST_FIXTURE_TEST_CASE(replace_it_without_votes_of_other_hosts, owner_fleet)
 {
     BOOST_TEST(proxy::pooled::count_owners(*entry().app, group).value_or(0) ==
                3U);
--- a/test/pooled/store_standin.hpp
+++ b/test/pooled/store_standin.hpp
@@ -50,11 +50,19 @@
         return standins::port_of(server);
     }
 
+    std::uint16_t side_port() const
+    {
+        return standins::port_of(side_server);
+    }
+
     /// Writes a row as the operator or a member does.
     void put(const std::string& table, const std::string& key,
              const std::string& value);
     void remove(const std::string& table, const std::string& key);
 
+    /// Comes back from a copy that was made at this version.
+    void roll_back_to(std::uint64_t to);
+
     store_faults faults;
     /// The next call fails with 410, as after a loss of the history.
     bool history_lost = false;
@@ -82,8 +90,21 @@
     /// Rises each time the store is restored from a copy.
     std::uint64_t era = 1;
     std::map<std::string, std::map<std::string, store_row>> tables;
+    struct change
+    {
+        std::string table;
+        std::string key;
+        store_row row;
+    };
+    /// All changes, in order.
+    std::vector<change> history;
     std::vector<waiting_call> waiting;
     standins::http_server_ptr server;
+    /// Another address, for a host that the store can turn away alone.
+    standins::http_server_ptr side_server;
+    bool side_refuses = false;
+    /// Calls at either address.
+    std::size_t calls = 0;
 };
 
 }  // namespace godwitbarrow::test
