Stop using a primary without evidence that it still leads

Such a primary now gets what only a primary may run, and a commit of it is passed on, only while the last evidence is younger than a takeover takes: a read of the claims, counted from its begin, or an exchange with a member of another data centre that shows no newer term. Shortly before it expires the host asks another member, and then the store. A takeover of a primary that was not lost waits as long for its answer before the promotion.

--- a/apps/proxy/src/pooled/app.cpp
+++ b/apps/proxy/src/pooled/app.cpp
@@ -3,6 +3,7 @@
 #include <mutex>
 
 #include "links.hpp"
+#include "primary_confirmation.hpp"
 #include "reports.hpp"
 
 namespace godwitbarrow::proxy::pooled
@@ -60,6 +61,10 @@
     {
         close_member(in, a.connection);
     }
+    void operator()(const pooler::confirm_primary& a) const
+    {
+        confirm(in, a);
+    }
     void operator()(const pooler::decision_note& a) const
     {
         report(in, a);
--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -70,6 +70,9 @@
     std::map<core::group_id, takeover_entry> groups;
     /// Whether the claims of other hosts are followed.
     std::atomic<bool> claims_followed{false};
+    /// For reads of all claims, one at a time.
+    std::shared_ptr<service_link> claims;
+    std::atomic<bool> reading_claims{false};
 };
 
 /// What the answers of the store have shown.
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -90,10 +90,16 @@
         });
 }
 
+/// Less than the time from the loss of a primary to the promotion of another:
+/// it fails to answer a statement and a question, and the claim is announced.
+constexpr std::chrono::milliseconds evidence_limit{900};
+
 void apply_settings(const host_settings& from, pooler::pooler_settings& to)
 {
     to.host = from.name;
     to.data_centre = from.data_centre;
+    if (!from.fencing)
+        to.evidence_limit = evidence_limit;
     to.leaving_primary_limit =
         std::min(to.leaving_primary_limit, from.leaving_limit / 2);
     to.shutdown_transactions = from.grace / 2;
--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -109,6 +109,25 @@
         { handler(as_written(got)); });
 }
 
+void pass_on(const platform::row_page& page, const claim_handlers& on)
+{
+    for (const auto& row : page.rows)
+    {
+        takeover::rows_read found;
+        if (!row.deleted)
+            add_claim(found, row);
+        if (!found.last_claim)
+            continue;
+        const auto& made = *found.last_claim;
+        // A later time is of a clock that has started anew since.
+        const auto age = made.claimed_at <= page.store_time
+                             ? page.store_time - made.claimed_at
+                             : unknown_age;
+        on.claim({row.key}, {made, row.version, age, page.era});
+    }
+    on.read(page.read_at);
+}
+
 }  // namespace
 }  // namespace detail
 
@@ -169,29 +188,24 @@
     detail::write(it, on, row, std::nullopt, std::move(handler));
 }
 
-void watch_claims(app& it, std::function<void(const core::group_id& group,
-                                              takeover::claim_observed claim)>
-                               handler)
+void watch_claims(app& it, claim_handlers on)
 {
-    watch_table(
-        it, detail::claim_table, detail::claim_times,
-        [handler = std::move(handler)](const platform::row_page& page, bool)
-        {
-            for (const auto& row : page.rows)
-            {
-                takeover::rows_read found;
-                if (!row.deleted)
-                    detail::add_claim(found, row);
-                if (!found.last_claim)
-                    continue;
-                const auto& made = *found.last_claim;
-                // A later time is of a clock that has started anew since.
-                const auto age = made.claimed_at <= page.store_time
-                                     ? page.store_time - made.claimed_at
-                                     : detail::unknown_age;
-                handler({row.key}, {made, row.version, age, page.era});
-            }
-        });
+    watch_table(it, detail::claim_table, detail::claim_times,
+                [on = std::move(on)](const platform::row_page& page, bool)
+                { detail::pass_on(page, on); });
+}
+
+void read_claims(app& it, const std::shared_ptr<service_link>& from,
+                 claim_handlers on, std::function<void()> done)
+{
+    read_table(it, from, detail::claim_table, {}, detail::store_limit,
+               [on = std::move(on), done = std::move(done)](
+                   const core::result<platform::row_page>& got)
+               {
+                   if (ok(got))
+                       detail::pass_on(std::get<platform::row_page>(got), on);
+                   done();
+               });
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/takeover_rows.hpp
+++ b/apps/proxy/src/pooled/takeover_rows.hpp
@@ -34,10 +34,21 @@
                        const core::group_id& group,
                        const takeover::clear_pauses& what);
 
-/// Calls the handler for the claim of each group, and for each that any host
-/// makes, until the process ends.
-void watch_claims(app& it, std::function<void(const core::group_id& group,
-                                              takeover::claim_observed claim)>
-                               handler);
+struct claim_handlers
+{
+    std::function<void(const core::group_id& group,
+                       const takeover::claim_observed& claim)>
+        claim;
+    /// All claims that were made before this time have been passed on.
+    std::function<void(core::time_point began)> read;
+};
+
+/// Passes on the claim of each group, and each that any host makes, until the
+/// process ends.
+void watch_claims(app& it, claim_handlers on);
+
+/// Passes on the claim of each group once. `done` is called in any case.
+void read_claims(app& it, const std::shared_ptr<service_link>& from,
+                 claim_handlers on, std::function<void()> done);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -212,15 +212,28 @@
                        { return v.second.synchronous_replicas > 0; });
 }
 
+claim_handlers claim_handlers_of(app& it)
+{
+    claim_handlers on;
+    on.claim =
+        [&it](const group_id& group, const takeover::claim_observed& claim)
+    {
+        advance(it, group, claim);
+    };
+    on.read = [&it](core::time_point began)
+    {
+        handle(it, pooler::claims_read{began});
+    };
+    return on;
+}
+
 /// Follows the claims of all hosts from the first time that they are needed.
 void follow_claims(app& it)
 {
     if (it.takeovers.claims_followed.exchange(true))
         return;
     // Also of groups that are not known yet: the configuration may come later.
-    watch_claims(
-        it, [&it](const group_id& group, const takeover::claim_observed& claim)
-        { advance(it, group, claim); });
+    watch_claims(it, claim_handlers_of(it));
 }
 
 void look_at_groups(app& it)
@@ -248,8 +261,17 @@
 }  // namespace
 }  // namespace detail
 
+void read_claims(app& it)
+{
+    if (it.takeovers.reading_claims.exchange(true))
+        return;
+    read_claims(it, it.takeovers.claims, detail::claim_handlers_of(it),
+                [&it] { it.takeovers.reading_claims = false; });
+}
+
 void watch_primaries(app& it)
 {
+    it.takeovers.claims = make_store_link(it);
     detail::look_again(it, std::make_shared<core::timer>(it.io));
 }
 
--- a/apps/proxy/src/pooled/takeovers.hpp
+++ b/apps/proxy/src/pooled/takeovers.hpp
@@ -9,4 +9,8 @@
 /// or leaving, until the process ends.
 void watch_primaries(app& it);
 
+/// Reads the claims of all hosts once more, for evidence that no primary was
+/// replaced.
+void read_claims(app& it);
+
 }  // namespace godwitbarrow::proxy::pooled
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/pooler/configuration.hpp"
 #include "godwitbarrow/pooler/statement.hpp"
 
@@ -83,6 +84,24 @@
     core::server_id server;
 };
 
+/// The claims of all hosts were read from the store, and those found have been
+/// reported as `primary_revoked`.
+struct claims_read
+{
+    /// When the read began.
+    core::time_point began;
+};
+
+/// A member answered a status query as a replica that receives.
+struct replica_answered
+{
+    core::group_id group;
+    core::server_id server;
+    /// When the query was begun.
+    core::time_point began;
+    core::log_position received;
+};
+
 /// Number of proxy hosts that share the connections of the members.
 struct host_count_changed
 {
@@ -98,11 +117,12 @@
 {
 };
 
-using event = std::variant<caller_started, caller_query, caller_disconnected,
-                           member_connected, member_answered,
-                           member_connection_lost, configuration_changed,
-                           members_changed, primary_confirmed, primary_revoked,
-                           host_count_changed, timer_tick, shutdown_started>;
+using event =
+    std::variant<caller_started, caller_query, caller_disconnected,
+                 member_connected, member_answered, member_connection_lost,
+                 configuration_changed, members_changed, primary_confirmed,
+                 primary_revoked, claims_read, replica_answered,
+                 host_count_changed, timer_tick, shutdown_started>;
 
 struct accept_caller
 {
@@ -147,6 +167,15 @@
     connection_number connection = 0;
 };
 
+/// Asks whether the primary of a group may have been replaced.
+struct confirm_primary
+{
+    /// Another member of the group, for its status.
+    registration ask;
+    /// Whether to read the claims in the store as well.
+    bool read_claims = false;
+};
+
 /// A log entry: a request that was refused or failed, or a change of the state
 /// that this host assumes of a member or of its configuration.
 struct decision_note
@@ -176,9 +205,10 @@
     std::chrono::nanoseconds waited{0};
 };
 
-using action = std::variant<accept_caller, refuse_caller, reply_to_caller,
-                            close_caller, open_connection, send_to_member,
-                            close_connection, decision_note, statement_ended>;
+using action =
+    std::variant<accept_caller, refuse_caller, reply_to_caller, close_caller,
+                 open_connection, send_to_member, close_connection,
+                 confirm_primary, decision_note, statement_ended>;
 using actions = std::vector<action>;
 
 }  // namespace godwitbarrow::pooler
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -83,6 +83,12 @@
     /// A commit that a revoked primary acknowledges this long after the
     /// revocation may follow the promotion of its successor and be lost.
     std::chrono::milliseconds revoked_commit_limit{200};
+    /// Where a replaced primary leads on: how long this host may use a primary
+    /// after the last evidence that it was not replaced. Shorter than a
+    /// takeover takes from the loss of the primary to the promotion.
+    std::optional<std::chrono::milliseconds> evidence_limit;
+    /// Minimum interval of questions for such evidence.
+    std::chrono::milliseconds evidence_interval{200};
     /// Time for which a member is skipped after its connection was lost or
     /// stopped responding.
     std::chrono::milliseconds failed_back_off{400};
@@ -250,6 +256,11 @@
     /// lost.
     std::optional<core::time_point> failed_at;
     std::optional<core::time_point> answered_at;
+    /// Begin of the last exchange in which it showed no newer term than that of
+    /// the primary.
+    std::optional<core::time_point> heard_at;
+    /// When it was last asked whether the primary may have been replaced.
+    std::optional<core::time_point> asked_at;
 };
 
 /// A primary that a host has claimed to replace.
@@ -272,6 +283,10 @@
     /// registered as the primary.
     std::optional<core::server_id> primary;
     std::optional<revocation> revoked;
+    /// Begin of the last read of the claims of all hosts.
+    std::optional<core::time_point> claims_read_at;
+    /// When evidence that the primary still leads was last asked for.
+    std::optional<core::time_point> evidence_asked_at;
     /// Time since which no member is assumed to be the primary.
     std::optional<core::time_point> no_primary_since;
     /// Sampled log positions of the primary, used to bound the staleness of
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -7,6 +7,7 @@
 #include "freshness.hpp"
 #include "observations.hpp"
 #include "placement.hpp"
+#include "primary_evidence.hpp"
 #include "sending.hpp"
 #include "setup.hpp"
 
@@ -48,8 +49,10 @@
         requeue_statement(ctx, user, *f);
         return finish_connection(ctx, number, a.state);
     }
-    const bool revoked = read_write && is_on_revoked_primary(ctx, c);
-    if (read_write)
+    const bool confirmed = !read_write || is_confirmed(ctx, c);
+    const bool revoked =
+        !confirmed || (read_write && is_on_revoked_primary(ctx, c));
+    if (read_write && confirmed)
         record_primary_proof(ctx, c, a.at);
     if (!s.disconnected && !c.setup_failure && !revoked)
         return send_after_begin(ctx, number);
@@ -64,6 +67,8 @@
 /// its successor.
 bool may_be_lost(const context& ctx, const backend_connection& c)
 {
+    if (!is_confirmed(ctx, c))
+        return true;
     if (!is_on_revoked_primary(ctx, c))
         return false;
     const auto& revoked = *ctx.pooler.groups.at(c.group).revoked;
@@ -80,7 +85,7 @@
     s.tx = {};
     finish_connection(ctx, number, session_state::idle);
     fail_statement(ctx, user, failure_code::in_doubt,
-                   "committed on a primary that was being replaced");
+                   "committed on a primary that may have been replaced");
 }
 
 void handle_success(context& ctx, connection_number number, answer a)
@@ -302,6 +307,8 @@
         const auto took = ctx.now - it->second.phase_since;
         m->fastest_open = std::min(m->fastest_open.value_or(took), took);
         m->answered_at = ctx.now;
+        record_exchange(ctx.pooler.groups.at(it->second.group), *m,
+                        it->second.phase_since, what.at);
     }
     const auto group = it->second.group;
     release_connection(ctx, what.connection);
@@ -324,7 +331,10 @@
     const auto why = c.outstanding.front();
     c.outstanding.pop_front();
     if (auto* m = find_member(ctx, c))
+    {
         m->answered_at = ctx.now;
+        record_exchange(ctx.pooler.groups.at(group), *m, c.sent, what.reply.at);
+    }
     switch (why)
     {
         case purpose::set_values:
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -8,6 +8,7 @@
 #include "freshness.hpp"
 #include "godwitbarrow/routing/owner.hpp"
 #include "placement.hpp"
+#include "primary_evidence.hpp"
 #include "sessions.hpp"
 
 namespace godwitbarrow::pooler
@@ -174,6 +175,18 @@
     dispatch(ctx, g->second);
 }
 
+void apply_replica_answer(context& ctx, const replica_answered& what)
+{
+    const auto g = ctx.pooler.groups.find(what.group);
+    if (g == ctx.pooler.groups.end())
+        return;
+    const auto m = g->second.members.find(what.server);
+    if (m == g->second.members.end())
+        return;
+    record_exchange(g->second, m->second, what.began, what.received);
+    dispatch(ctx, g->second);
+}
+
 void detect_stall(state& it, core::time_point now)
 {
     if (!it.active_sessions.empty() &&
@@ -230,6 +243,18 @@
     {
         apply_revocation(ctx, it);
     }
+    void operator()(const claims_read& it) const
+    {
+        for (auto& [id, g] : ctx.pooler.groups)
+        {
+            record_claims_read(g, it.began);
+            dispatch(ctx, g);
+        }
+    }
+    void operator()(const replica_answered& it) const
+    {
+        apply_replica_answer(ctx, it);
+    }
     void operator()(const host_count_changed& it) const
     {
         ctx.pooler.live_hosts = std::max<std::size_t>(it.live, 1);
--- a/libs/pooler/src/expiry.cpp
+++ b/libs/pooler/src/expiry.cpp
@@ -7,6 +7,7 @@
 #include "answers.hpp"
 #include "connections.hpp"
 #include "placement.hpp"
+#include "primary_evidence.hpp"
 #include "sending.hpp"
 #include "sessions.hpp"
 #include "shutdown.hpp"
@@ -40,6 +41,19 @@
            ctx.now - c->second.sent >= ctx.pooler.settings.begin_timeout;
 }
 
+/// Keeps the evidence fresh under which the answer of a primary is believed.
+void refresh_running(context& ctx, const caller_session& s)
+{
+    if (s.tx.phase == transaction_phase::open)
+        return refresh_evidence(ctx, s);
+    const auto c = ctx.pooler.connections.find(s.current->connection);
+    if (!s.current->primary_only || c == ctx.pooler.connections.end())
+        return;
+    const auto g = ctx.pooler.groups.find(c->second.group);
+    if (g != ctx.pooler.groups.end())
+        refresh_evidence(ctx, g->second, c->second.server);
+}
+
 void expire_running(context& ctx)
 {
     const std::vector<session_number> active(ctx.pooler.active_sessions.begin(),
@@ -50,6 +64,7 @@
         if (it == ctx.pooler.sessions.end() || !it->second.current)
             continue;
         auto& p = *it->second.current;
+        refresh_running(ctx, it->second);
         if (p.queued && ctx.now >= p.deadline)
             fail_queued(ctx, number, "the host is shutting down");
         else if (p.retry_on_held && ctx.now >= p.deadline)
@@ -58,6 +73,8 @@
         else if (p.retry_on_held && writes_on_revoked_primary(ctx, it->second))
             fail_statement(ctx, number, failure_code::aborted,
                            "the primary is being replaced");
+        else if (p.retry_on_held && awaits_evidence(ctx, it->second))
+            continue;
         else if (p.retry_on_held)
             send_on_held(ctx, number);
         else if (is_overdue(ctx, p))
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -6,6 +6,7 @@
 
 #include "connections.hpp"
 #include "freshness.hpp"
+#include "primary_evidence.hpp"
 #include "sending.hpp"
 
 namespace godwitbarrow::pooler::detail
@@ -150,9 +151,15 @@
                                           const caller_session& s)
 {
     bool opened = false;
+    const bool primary_only = s.current->primary_only ||
+                              !required_position(g, s, ctx.pooler.settings);
     for (const auto& id : candidates(ctx, g, s))
     {
         auto& m = g.members.at(id);
+        if (primary_only)
+            refresh_evidence(ctx, g, id);
+        if (primary_only && !is_confirmed(ctx, g, id))
+            continue;
         if (m.running >= running_limit(ctx.pooler, m))
             continue;
         if (m.busy_until && *m.busy_until > ctx.now)
--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -4,6 +4,7 @@
 
 #include "connections.hpp"
 #include "placement.hpp"
+#include "primary_evidence.hpp"
 #include "sending.hpp"
 #include "shutdown.hpp"
 
@@ -114,6 +115,11 @@
         writes_on_revoked_primary(ctx, s))
         return fail_statement(ctx, number, failure_code::aborted,
                               "the primary is being replaced");
+    if (s.tx.phase == transaction_phase::open && awaits_evidence(ctx, s))
+    {
+        p.retry_on_held = true;
+        return refresh_evidence(ctx, s);
+    }
     if (s.tx.phase == transaction_phase::open)
         return send_on_held(ctx, number);
     p.primary_only = writes || s.active_route.reads == read_policy::newest ||
--- a/libs/pooler/src/setup.cpp
+++ b/libs/pooler/src/setup.cpp
@@ -3,6 +3,7 @@
 #include "connections.hpp"
 #include "observations.hpp"
 #include "placement.hpp"
+#include "primary_evidence.hpp"
 #include "sending.hpp"
 
 namespace godwitbarrow::pooler::detail
@@ -46,7 +47,8 @@
     const auto& s = ctx.pooler.sessions.at(user);
     const bool open = s.tx.phase == transaction_phase::open;
     const bool revoked =
-        !open && s.current->primary_only && is_on_revoked_primary(ctx, c);
+        !open && s.current->primary_only &&
+        (is_on_revoked_primary(ctx, c) || !is_confirmed(ctx, c));
     if (!c.setup_failure && !s.disconnected && !revoked)
         return send_after_setup(ctx, number);
     c.after_setup.reset();
--- a/libs/pooler/test/sim/fleet.cpp
+++ b/libs/pooler/test/sim/fleet.cpp
@@ -175,6 +175,7 @@
     {
         close(a.session);
     }
+    void operator()(const confirm_primary&) const {}
     void operator()(const open_connection& a) const
     {
         const auto& m = it.group.members.at(a.server);
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -55,6 +55,9 @@
     /// How long a promotion waits for the hosts to see the claim if the old
     /// primary does not confirm that it has stepped down.
     std::chrono::milliseconds revocation_delay{300};
+    /// The same for a primary that was not lost before the claim. Hosts that
+    /// are cut off together with it stop using it within this time.
+    std::chrono::milliseconds unconfirmed_delay{1000};
     /// Interval of the requests to step down that were not confirmed.
     std::chrono::milliseconds step_down_interval{200};
     /// Hosts end the pauses of a claim whose holder has failed at different
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -63,6 +63,15 @@
     send_promotion(ctx);
 }
 
+/// How long the promotion waits for hosts to stop using the old primary.
+std::chrono::milliseconds announcement_delay(const context& ctx)
+{
+    const auto& settings = ctx.settings;
+    return settings.revoke_before_promotion && !ctx.state.view.unreachable
+               ? settings.unconfirmed_delay
+               : settings.revocation_delay;
+}
+
 }  // namespace
 
 void replace_primary(context& ctx)
@@ -117,7 +126,7 @@
 void promote_if_revoked(context& ctx)
 {
     const auto waited = ctx.now - ctx.state.phase_entered_at;
-    if (waited < ctx.settings.revocation_delay)
+    if (waited < announcement_delay(ctx))
         return;
     if (!pauses_replication(ctx.state) || is_primary_lost(ctx))
         return send_promotion(ctx);
