Count as evidence only positions and stores without a claim

A member counts if it reports a position of no later term than the primary. A claim against the primary takes the store's word away: the outcome is not there.

--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -111,6 +111,7 @@
 
 void pass_on(const platform::row_page& page, const claim_handlers& on)
 {
+    pooler::claims_read read{page.read_at, {}};
     for (const auto& row : page.rows)
     {
         takeover::rows_read found;
@@ -123,9 +124,10 @@
         const auto age = made.claimed_at <= page.store_time
                              ? page.store_time - made.claimed_at
                              : unknown_age;
+        read.claims.push_back({{row.key}, made.replaced, made.token});
         on.claim({row.key}, {made, row.version, age, page.era});
     }
-    on.read(page.read_at);
+    on.read(std::move(read));
 }
 
 }  // namespace
--- a/apps/proxy/src/pooled/takeover_rows.hpp
+++ b/apps/proxy/src/pooled/takeover_rows.hpp
@@ -39,8 +39,8 @@
     std::function<void(const core::group_id& group,
                        const takeover::claim_observed& claim)>
         claim;
-    /// All claims that were made before this time have been passed on.
-    std::function<void(core::time_point began)> read;
+    /// All claims that were made before the read began have been passed on.
+    std::function<void(pooler::claims_read what)> read;
 };
 
 /// Passes on the claim of each group, and each that any host makes, until the
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -220,9 +220,9 @@
     {
         advance(it, group, claim);
     };
-    on.read = [&it](core::time_point began)
+    on.read = [&it](pooler::claims_read what)
     {
-        handle(it, pooler::claims_read{began});
+        handle(it, std::move(what));
     };
     return on;
 }
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -88,8 +88,17 @@
 /// reported as `primary_revoked`.
 struct claims_read
 {
+    struct claim
+    {
+        core::group_id group;
+        /// The primary that it replaces.
+        core::server_id replaced;
+        std::uint64_t token = 0;
+    };
     /// When the read began.
     core::time_point began;
+    /// The last claims of groups, or those of them that have changed.
+    std::vector<claim> claims;
 };
 
 /// A member answered a status query as a replica that receives.
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -256,9 +256,10 @@
     /// lost.
     std::optional<core::time_point> failed_at;
     std::optional<core::time_point> answered_at;
-    /// Begin of the last exchange in which it showed no newer term than that of
-    /// the primary.
+    /// Begin of the last exchange in which it reported its log position, and
+    /// the highest term of a position that it reported.
     std::optional<core::time_point> heard_at;
+    core::term_number shown_term = 0;
     /// When it was last asked whether the primary may have been replaced.
     std::optional<core::time_point> asked_at;
 };
@@ -285,6 +286,9 @@
     std::optional<revocation> revoked;
     /// Begin of the last read of the claims of all hosts.
     std::optional<core::time_point> claims_read_at;
+    /// The primary that the last of them replaces, and its token.
+    core::server_id claimed;
+    std::uint64_t claim_token = 0;
     /// When evidence that the primary still leads was last asked for.
     std::optional<core::time_point> evidence_asked_at;
     /// Time since which no member is assumed to be the primary.
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -307,8 +307,7 @@
         const auto took = ctx.now - it->second.phase_since;
         m->fastest_open = std::min(m->fastest_open.value_or(took), took);
         m->answered_at = ctx.now;
-        record_exchange(ctx.pooler.groups.at(it->second.group), *m,
-                        it->second.phase_since, what.at);
+        record_exchange(*m, it->second.phase_since, what.at);
     }
     const auto group = it->second.group;
     release_connection(ctx, what.connection);
@@ -333,7 +332,7 @@
     if (auto* m = find_member(ctx, c))
     {
         m->answered_at = ctx.now;
-        record_exchange(ctx.pooler.groups.at(group), *m, c.sent, what.reply.at);
+        record_exchange(*m, c.sent, what.reply.at);
     }
     switch (why)
     {
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -123,6 +123,8 @@
         m.failed_opens = 0;
         m.reopen_after.reset();
         m.fastest_open.reset();
+        m.heard_at.reset();
+        m.shown_term = 0;
         close_idle_connections(ctx, m);
         log_member(ctx, to, "member restarted");
     }
@@ -183,7 +185,7 @@
     const auto m = g->second.members.find(what.server);
     if (m == g->second.members.end())
         return;
-    record_exchange(g->second, m->second, what.began, what.received);
+    record_exchange(m->second, what.began, what.received);
     dispatch(ctx, g->second);
 }
 
@@ -245,11 +247,9 @@
     }
     void operator()(const claims_read& it) const
     {
+        record_claims_read(ctx, it);
         for (auto& [id, g] : ctx.pooler.groups)
-        {
-            record_claims_read(g, it.began);
             dispatch(ctx, g);
-        }
     }
     void operator()(const replica_answered& it) const
     {
--- a/libs/pooler/src/primary_evidence.cpp
+++ b/libs/pooler/src/primary_evidence.cpp
@@ -9,30 +9,43 @@
 namespace
 {
 
-/// Whether an answer of the member is evidence about the primary. A data centre
-/// may be cut off as a whole, so a member beside the primary shows nothing if
-/// there are others.
+/// Whether the member is outside the data centre of the primary, which may be
+/// cut off as a whole, or no member is.
+bool is_apart(const group& g, const member& m, const member& primary)
+{
+    const auto& place = primary.record.data_centre;
+    return m.record.data_centre != place ||
+           std::all_of(g.members.begin(), g.members.end(),
+                       [&](const auto& n)
+                       { return n.second.record.data_centre == place; });
+}
+
+/// Whether positions of the member are evidence about the primary.
 bool can_confirm(const group& g, const member& m,
                  const core::server_id& primary)
 {
     if (m.record.server == primary)
         return false;
     const auto p = g.members.find(primary);
-    if (p == g.members.end())
-        return true;
-    const auto& place = p->second.record.data_centre;
-    return m.record.data_centre != place ||
-           std::all_of(g.members.begin(), g.members.end(),
-                       [&](const auto& n)
-                       { return n.second.record.data_centre == place; });
+    return p == g.members.end() || is_apart(g, m, p->second);
+}
+
+/// Whether the member has reported the term of a later primary.
+bool knows_successor(const group& g, const member& m,
+                     const core::server_id& primary)
+{
+    const auto p = g.members.find(primary);
+    return p != g.members.end() && m.shown_term > p->second.shown_term;
 }
 
 std::optional<core::time_point> last_evidence(const group& g,
                                               const core::server_id& primary)
 {
-    auto out = g.claims_read_at;
+    // The outcome of a claim against the primary is not in the store.
+    auto out = g.claimed == primary ? std::nullopt : g.claims_read_at;
     for (const auto& [id, m] : g.members)
-        if (m.heard_at && can_confirm(g, m, primary))
+        if (m.heard_at && can_confirm(g, m, primary) &&
+            !knows_successor(g, m, primary))
             out = std::max(out.value_or(*m.heard_at), *m.heard_at);
     return out;
 }
@@ -62,18 +75,28 @@
 
 }  // namespace
 
-void record_exchange(const group& g, member& m, core::time_point began,
+void record_exchange(member& m, core::time_point began,
                      const std::optional<core::log_position>& at)
 {
-    const auto& samples = g.history.samples;
-    if (at && !samples.empty() && at->term > samples.back().at.term)
+    if (!at)
         return;
     m.heard_at = std::max(m.heard_at.value_or(began), began);
+    m.shown_term = std::max(m.shown_term, at->term);
 }
 
-void record_claims_read(group& g, core::time_point began)
+void record_claims_read(context& ctx, const claims_read& what)
 {
-    g.claims_read_at = std::max(g.claims_read_at.value_or(began), began);
+    for (const auto& it : what.claims)
+    {
+        const auto g = ctx.pooler.groups.find(it.group);
+        if (g == ctx.pooler.groups.end() || it.token < g->second.claim_token)
+            continue;
+        g->second.claimed = it.replaced;
+        g->second.claim_token = it.token;
+    }
+    for (auto& [id, g] : ctx.pooler.groups)
+        g.claims_read_at =
+            std::max(g.claims_read_at.value_or(what.began), what.began);
 }
 
 bool is_confirmed(const context& ctx, const group& g,
--- a/libs/pooler/src/primary_evidence.hpp
+++ b/libs/pooler/src/primary_evidence.hpp
@@ -9,11 +9,10 @@
 {
 
 /// Records an exchange with a member that began at `began`.
-void record_exchange(const group& g, member& m, core::time_point began,
+void record_exchange(member& m, core::time_point began,
                      const std::optional<core::log_position>& at);
 
-/// Records a read of the claims of all hosts that began at `began`.
-void record_claims_read(group& g, core::time_point began);
+void record_claims_read(context& ctx, const claims_read& what);
 
 /// Whether the host may send `primary` what only a primary may run, and believe
 /// its answers.
--- a/libs/pooler/test/primary_evidence_test.cpp
+++ b/libs/pooler/test/primary_evidence_test.cpp
@@ -17,7 +17,7 @@
     unfenced_fixture()
     {
         pooler_state.settings.evidence_limit = limit;
-        post(claims_read{now});
+        post(claims_read{now, {}});
     }
 
     /// A replica answers a question that was begun now. The primary and the
@@ -152,6 +152,41 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(a_host_that_is_connected_again)
+
+// Guards against a claim that is too old to revoke the primary: it was replaced
+// while the host was cut off.
+BOOST_FIXTURE_TEST_CASE(takes_a_claim_against_the_primary_for_no_evidence,
+                        unfenced_fixture)
+{
+    start(1, "newest");
+    read_newest(1, {1, 5});
+    now += limit;
+    post(claims_read{now, {{group, {"primary"}, 7}}});
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(!sent_to_primary());
+    post(claims_read{now, {}});
+    BOOST_TEST(!sent_to_primary());
+    hear_replica();
+    BOOST_TEST(server_of(sent().connection) == "primary");
+}
+
+// Guards against members that refuse statements as busy and tell no term.
+BOOST_FIXTURE_TEST_CASE(needs_a_position_of_another_member, unfenced_fixture)
+{
+    start(1, "newest");
+    read_newest(1, {1, 5});
+    connect_replicas();
+    start(2, "bounded");
+    query(2, verb::read, "READ 1");
+    now += limit;
+    fail(sent().connection, failure_code::busy);
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(!sent_to_primary());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(a_host_that_uses_the_primary)
 
 // Guards against statements that wait for evidence on a healthy group.
@@ -168,7 +203,7 @@
     BOOST_TEST(!asked->read_claims);
     wait(pooler_state.settings.evidence_interval);
     BOOST_TEST(first_of<confirm_primary>()->read_claims);
-    post(claims_read{now});
+    post(claims_read{now, {}});
     wait(100ms);
     BOOST_TEST(!first_of<confirm_primary>().has_value());
     succeed(c, {1, 6}, session_state::idle, "signed");
@@ -183,7 +218,7 @@
     start(1, "newest");
     read_newest(1, {1, 5});
     now += limit;
-    post(claims_read{now - limit});
+    post(claims_read{now - limit, {}});
     query(1, verb::write, "WRITE 1 x");
     BOOST_TEST(!sent_to_primary());
 }
