--- a/apps/proxy/src/pooled/app.cpp
+++ b/apps/proxy/src/pooled/app.cpp
@@ -3,6 +3,7 @@
 #include <mutex>
 
 #include "links.hpp"
+#include "primary_confirmation.hpp"
 #include "quotas.hpp"
 #include "reports.hpp"
 
@@ -65,6 +66,10 @@
     {
         borrow(in, a);
     }
+    void operator()(const pooler::confirm_primary& a) const
+    {
+        confirm(in, a);
+    }
     void operator()(const pooler::decision_note& a) const
     {
         report(in, a);
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -8,6 +8,7 @@
 #include "freshness.hpp"
 #include "godwitbarrow/routing/owner.hpp"
 #include "placement.hpp"
+#include "primary_evidence.hpp"
 #include "quotas.hpp"
 #include "sessions.hpp"
 
@@ -89,6 +90,8 @@
         m.failed_opens = 0;
         m.reopen_after.reset();
         m.fastest_open.reset();
+        m.heard_at.reset();
+        m.shown_term = 0;
         close_idle_connections(ctx, m);
         log_member(ctx, to, "member restarted");
     }
@@ -153,6 +156,18 @@
     }
 }
 
+void apply_replica_answer(context& ctx, const replica_answered& what)
+{
+    const auto g = ctx.pooler.groups.find(what.group);
+    if (g == ctx.pooler.groups.end())
+        return;
+    const auto m = g->second.members.find(what.server);
+    if (m == g->second.members.end())
+        return;
+    record_exchange(m->second, what.began, what.received);
+    dispatch(ctx, g->second);
+}
+
 void detect_stall(state& it, core::time_point now)
 {
     if (!it.active_sessions.empty() &&
@@ -209,6 +224,16 @@
     {
         apply_revocation(ctx, it);
     }
+    void operator()(const claims_read& it) const
+    {
+        record_claims_read(ctx, it);
+        for (auto& [id, g] : ctx.pooler.groups)
+            dispatch(ctx, g);
+    }
+    void operator()(const replica_answered& it) const
+    {
+        apply_replica_answer(ctx, it);
+    }
     void operator()(const host_count_changed& it) const
     {
         ctx.pooler.live_hosts = std::max<std::size_t>(it.live, 1);
