--- a/libs/pooler/src/sessions.cpp
+++ b/libs/pooler/src/sessions.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "access.hpp"
 #include "connections.hpp"
 #include "placement.hpp"
 #include "quotas.hpp"
@@ -167,35 +168,6 @@
     return it != verb::set && it != verb::prepare && it != verb::deallocate;
 }
 
-/// Applies the currently configured route, but not inside a transaction.
-/// Returns false if the database has no route.
-bool update_route(const state& all, caller_session& s)
-{
-    if (s.tx.phase != transaction_phase::none)
-        return true;
-    const auto it = all.active_configuration.routes.find(s.database);
-    if (it == all.active_configuration.routes.end())
-        return false;
-    s.active_route = it->second;
-    return true;
-}
-
-/// Applies the workspace that the configuration gives the key of the session.
-/// Returns false if the session is not admitted any more, or if an open
-/// transaction belongs to another workspace.
-bool update_workspace(const state& all, caller_session& s)
-{
-    if (s.tx.phase == transaction_phase::failed)
-        return true;
-    const auto found = workspaces::find_workspace(
-        all.active_configuration.workspaces, s.key, s.active_route.open);
-    const bool in_transaction = s.tx.phase != transaction_phase::none;
-    if (!found || (in_transaction && *found != s.workspace))
-        return false;
-    s.workspace = *found;
-    return true;
-}
-
 /// Refuses the statement of a session whose key is not valid any more. The
 /// transaction is rolled back first; the session ends with the statement after
 /// it.
