--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -148,7 +148,7 @@
     core::endpoint address;
     /// The workspace that the connection works for; empty if callers need no
     /// key.
-    core::workspace_id workspace;
+    core::workspace_id workspace{};
 };
 
 /// Statements for the member to execute in order.
