Log when a primary is not confirmed

A host that refuses writes since it is cut off names the primary and what is missing, once when the evidence expires and once when it is back.

pooler_test passes.

--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -291,6 +291,8 @@
     std::uint64_t claim_token = 0;
     /// When evidence that the primary still leads was last asked for.
     std::optional<core::time_point> evidence_asked_at;
+    /// Whether the evidence has expired and a question was not answered.
+    bool evidence_expired = false;
     /// Time since which no member is assumed to be the primary.
     std::optional<core::time_point> no_primary_since;
     /// Sampled log positions of the primary, used to bound the staleness of
--- a/libs/pooler/src/primary_evidence.cpp
+++ b/libs/pooler/src/primary_evidence.cpp
@@ -66,6 +66,21 @@
     return out;
 }
 
+void note_expiry(context& ctx, group& g, const core::server_id& primary,
+                 bool expired)
+{
+    if (g.evidence_expired == expired)
+        return;
+    g.evidence_expired = expired;
+    decision_note n;
+    n.message = expired ? "primary not confirmed" : "primary confirmed again";
+    n.group = g.members.at(primary).record.group;
+    n.server = primary;
+    if (expired)
+        n.detail = "neither the store nor another member has answered";
+    ctx.out.push_back(std::move(n));
+}
+
 const backend_connection* connection_of(const context& ctx,
                                         const caller_session& s)
 {
@@ -117,7 +132,7 @@
 
 void refresh_evidence(context& ctx, group& g, const core::server_id& primary)
 {
-    if (!needs_evidence(ctx, g))
+    if (!needs_evidence(ctx, g) || g.members.count(primary) == 0)
         return;
     const auto& settings = ctx.pooler.settings;
     const auto limit = *settings.evidence_limit;
@@ -126,9 +141,14 @@
     const bool just_asked =
         g.evidence_asked_at &&
         ctx.now - *g.evidence_asked_at < settings.evidence_interval;
+    if (age < limit / 2)
+        return note_expiry(ctx, g, primary, false);
     auto* m = next_to_ask(g, primary);
-    if (age < limit / 2 || just_asked || !m)
+    if (just_asked || !m)
         return;
+    if (age >= limit && g.evidence_asked_at &&
+        ctx.now - *g.evidence_asked_at < limit)
+        note_expiry(ctx, g, primary, true);
     m->asked_at = ctx.now;
     g.evidence_asked_at = ctx.now;
     ctx.out.push_back(confirm_primary{m->record, age >= limit * 2 / 3});
--- a/libs/pooler/test/primary_evidence_test.cpp
+++ b/libs/pooler/test/primary_evidence_test.cpp
@@ -69,6 +69,8 @@
     wait(300ms);
     BOOST_TEST(!sent_to_primary());
     BOOST_TEST(outcome(1) == "busy");
+    query(1, verb::write, "WRITE 1 z");
+    BOOST_TEST(first_of<decision_note>()->message == "primary not confirmed");
 }
 
 // Guards against passing on a commit that followed the promotion.
