--- a/apps/proxy/src/pooled/table_watch.cpp
+++ b/apps/proxy/src/pooled/table_watch.cpp
@@ -235,7 +235,7 @@
 table_watch_ptr watch_table(app& it, std::string_view table,
                             const watch_times& times, watch_handler handler)
 {
-    const auto w = std::make_shared<table_watch>();
+    auto w = std::make_shared<table_watch>();
     w->table = table;
     w->times = times;
     w->link = make_store_link(it);
--- a/libs/pooler/test/session_values_test.cpp
+++ b/libs/pooler/test/session_values_test.cpp
@@ -47,7 +47,7 @@
 BOOST_FIXTURE_TEST_CASE(stores_a_limited_size, pooler_fixture)
 {
     start(1, "newest");
-    const std::string large(1000 * 1000, 'x');
+    const std::string large(std::size_t{1000} * 1000, 'x');
     query(1, verb::set, large, "a");
     BOOST_TEST(outcome(1) == "success");
     query(1, verb::prepare, large, "s1", true);
--- a/libs/workspaces/test/messages_test.cpp
+++ b/libs/workspaces/test/messages_test.cpp
@@ -52,7 +52,7 @@
 BOOST_AUTO_TEST_CASE(is_rejected_or_read_whatever_its_bytes)
 {
     const auto holds = rc::check(
-        [](std::string bytes)
+        [](const std::string& bytes)
         {
             decode(bytes);
             auto damaged = encode(loan_request{{"clinics"}, 9, 4});
