--- a/apps/proxy/src/pooled/host_census.cpp
+++ b/apps/proxy/src/pooled/host_census.cpp
@@ -176,7 +176,9 @@
     const auto now = core::runtime_clock::now();
     if (is_row_due(it, now))
         write_own_row(it);
-    if (!it.hosts.known.rows_read && now - it.hosts.started < list_wait)
+    // A host without peers reads for itself, whatever the list holds.
+    if (has_peers(it) && !it.hosts.known.rows_read &&
+        now - it.hosts.started < list_wait)
         return;
     auto live = hosts::live_hosts(it.hosts.known, it.hosts.liveness, now);
     publish_hosts(it, live, now);
