Show what waits on links between hosts

Neither a log line nor a metric told how many bytes wait for another host, of which topic, for how long, how often a configuration was sent, or whether the event loop was late. Now they do; no logic is changed.

--- a/apps/proxy/src/pooled/configuration_exchange.cpp
+++ b/apps/proxy/src/pooled/configuration_exchange.cpp
@@ -55,6 +55,8 @@
         table.asked = now;
         version = table.told[*to];
     }
+    telemetry::log_event(telemetry::log_level::info, "configuration asked for",
+                         {{"peer", *to}, {"version", version}});
     send(it, *to, hosts::configuration_request{version});
     after(it, ask_again, [&it] { ask_for_newest(it); });
 }
@@ -85,6 +87,9 @@
             telemetry::log_level::warning, "configuration not sent",
             {{"peer", to},
              {"reason", "it exceeds 1 MB; the host has to read the store"}});
+    telemetry::log_event(
+        telemetry::log_level::info, "configuration sent",
+        {{"peer", to}, {"version", out.version}, {"bytes", out.text.size()}});
     send(it, to, out);
 }
 
--- a/apps/proxy/src/pooled/mesh.cpp
+++ b/apps/proxy/src/pooled/mesh.cpp
@@ -66,6 +66,7 @@
     replaced = std::exchange(p.link, link);
     p.incarnation = from.incarnation;
     p.retry_at.reset();
+    p.sent.clear();
     return true;
 }
 
@@ -317,11 +318,34 @@
     const auto n = it.mesh.peers.find(to);
     if (n == it.mesh.peers.end() || !n->second.link)
         return false;
+    n->second.sent[about] += bytes.size();
+    telemetry::count_host_bytes(*it.metrics, peer::to_string(about),
+                                bytes.size());
     // Sent under the lock, so that messages keep the order of their senders.
     peer::send(n->second.link, peer::payload{about, std::move(bytes)});
     return true;
 }
 
+std::vector<link_load> list_link_loads(const app& it)
+{
+    std::vector<link_load> out;
+    const auto now = core::runtime_clock::now();
+    std::lock_guard lock(it.mesh.mutex);
+    for (const auto& [name, p] : it.mesh.peers)
+        if (p.link)
+            out.push_back({name, peer::backlog_of(p.link, now), p.sent});
+    return out;
+}
+
+peer::send_backlog backlog_to(const app& it, const core::host_id& to)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    const auto n = it.mesh.peers.find(to);
+    if (n == it.mesh.peers.end() || !n->second.link)
+        return {};
+    return peer::backlog_of(n->second.link, core::runtime_clock::now());
+}
+
 void on_host_message(app& it, peer::topic about, peer_message_handler handler)
 {
     it.mesh.message_handlers[about] = std::move(handler);
--- a/apps/proxy/src/pooled/mesh.hpp
+++ b/apps/proxy/src/pooled/mesh.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <set>
 #include <string>
 #include <string_view>
@@ -41,6 +42,20 @@
 bool send_to_host(app& it, const core::host_id& to, peer::topic about,
                   std::string bytes);
 
+/// What was sent to a host on its open link, and what of it still waits.
+struct link_load
+{
+    core::host_id to;
+    peer::send_backlog waiting;
+    std::map<peer::topic, std::uint64_t> sent;
+};
+
+/// Of each open link.
+std::vector<link_load> list_link_loads(const app& it);
+
+/// What waits to be sent to the host; nothing without a link.
+peer::send_backlog backlog_to(const app& it, const core::host_id& to);
+
 using peer_message_handler =
     std::function<void(const core::host_id& from, std::string_view bytes)>;
 using peer_link_handler =
--- a/apps/proxy/src/pooled/mesh_table.hpp
+++ b/apps/proxy/src/pooled/mesh_table.hpp
@@ -26,6 +26,8 @@
     /// The link that waits for that.
     peer::link_ptr greeted;
     std::optional<core::time_point> retry_at;
+    /// Bytes sent on the link since it is open.
+    std::map<peer::topic, std::uint64_t> sent;
 };
 
 struct mesh_table
--- a/apps/proxy/src/pooled/relay_entry.cpp
+++ b/apps/proxy/src/pooled/relay_entry.cpp
@@ -3,6 +3,7 @@
 #include "caller_guard.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "links.hpp"
+#include "mesh.hpp"
 #include "owner_watch.hpp"
 #include "relay.hpp"
 
@@ -143,15 +144,28 @@
 void lose_owner(app& it, const core::host_id& owner, const char* reason)
 {
     std::set<pooler::session_number> lost;
+    std::size_t outstanding = 0;
+    core::duration silence{0};
     {
         std::lock_guard lock(it.relays.mutex);
-        lost = it.relays.peers[owner].outbound;
+        const auto& p = it.relays.peers[owner];
+        lost = p.outbound;
+        for (const auto session : lost)
+            outstanding += it.relays.outbound.at(session).unanswered > 0;
+        if (p.heard_at)
+            silence = core::runtime_clock::now() - *p.heard_at;
     }
     if (lost.empty())
         return;
-    telemetry::log_event(
-        telemetry::log_level::warning, "relayed sessions lost",
-        {{"owner", owner}, {"sessions", lost.size()}, {"reason", reason}});
+    const auto waiting = backlog_to(it, owner);
+    telemetry::log_event(telemetry::log_level::warning, "relayed sessions lost",
+                         {{"owner", owner},
+                          {"sessions", lost.size()},
+                          {"outstanding", outstanding},
+                          {"silence", silence},
+                          {"waiting_bytes", waiting.bytes},
+                          {"waiting_age", waiting.age},
+                          {"reason", reason}});
     for (const auto session : lost)
     {
         // Nothing is claimed about a statement that is not answered, and the
--- a/apps/proxy/src/pooled/row_share.cpp
+++ b/apps/proxy/src/pooled/row_share.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
+#include "godwitbarrow/telemetry/log.hpp"
 #include "mesh.hpp"
 #include "store_link.hpp"
 
@@ -18,11 +19,25 @@
 /// Below the limit of a frame, which also holds the last row of a part.
 constexpr std::size_t part_bytes = std::size_t{256} * 1024;
 
+/// An update above this size is logged.
+constexpr std::size_t logged_bytes = std::size_t{64} * 1024;
+
 void send_update(app& it, const core::host_id& to,
                  const hosts::row_update& update)
 {
+    std::size_t bytes = 0;
     for (auto& part : hosts::split(update, part_bytes))
-        send_to_host(it, to, peer::topic::rows, hosts::encode(std::move(part)));
+    {
+        auto encoded = hosts::encode(std::move(part));
+        bytes += encoded.size();
+        send_to_host(it, to, peer::topic::rows, std::move(encoded));
+    }
+    if (bytes >= logged_bytes)
+        telemetry::log_event(telemetry::log_level::info, "rows sent",
+                             {{"peer", to},
+                              {"table", update.name},
+                              {"version", update.version},
+                              {"bytes", bytes}});
 }
 
 void pass_on(app& it, const hosts::row_update& update,
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -15,6 +15,7 @@
 #include "configuration_exchange.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "host_census.hpp"
+#include "link_watch.hpp"
 #include "links.hpp"
 #include "mesh.hpp"
 #include "owner_watch.hpp"
@@ -183,6 +184,7 @@
     watch_store(it);
     count_hosts(it);
     watch_owners(it);
+    watch_links(it);
     watch_primaries(it);
     start_caller_guard(it);
     detail::keep_ticking(it, std::make_shared<core::timer>(it.io));
--- a/libs/peer/include/godwitbarrow/peer/link.hpp
+++ b/libs/peer/include/godwitbarrow/peer/link.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 
+#include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/endpoint.hpp"
 #include "godwitbarrow/core/error.hpp"
 #include "godwitbarrow/peer/messages.hpp"
@@ -61,6 +62,17 @@
 /// message exceeds a frame. Does nothing on a closed link.
 void send(const link_ptr& it, const message& what);
 
+/// What waits in this process to be written to the other host.
+struct send_backlog
+{
+    std::size_t bytes = 0;
+    /// Since the oldest of these messages was sent.
+    core::duration age{0};
+};
+
+/// Callable from any thread.
+send_backlog backlog_of(const link_ptr& it, core::time_point now);
+
 /// Drops what was not written yet. Callable from any thread.
 void close(const link_ptr& it);
 
--- a/libs/peer/include/godwitbarrow/peer/messages.hpp
+++ b/libs/peer/include/godwitbarrow/peer/messages.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -136,6 +137,9 @@
     quotas = 5
 };
 
+/// Name of the topic in logs and metrics.
+std::string_view to_string(topic it);
+
 /// Bytes that the library of the topic encodes and decodes.
 struct payload
 {
--- a/libs/peer/src/encode.cpp
+++ b/libs/peer/src/encode.cpp
@@ -221,6 +221,24 @@
 }  // namespace
 }  // namespace detail
 
+std::string_view to_string(topic it)
+{
+    switch (it)
+    {
+        case topic::hosts:
+            return "hosts";
+        case topic::rows:
+            return "rows";
+        case topic::configuration:
+            return "configuration";
+        case topic::sessions:
+            return "sessions";
+        case topic::quotas:
+            return "quotas";
+    }
+    return "unknown";
+}
+
 std::vector<std::uint8_t> encode(const message& it, core::time_point now)
 {
     detail::builder to(detail::initial_bytes);
--- a/libs/peer/src/link.cpp
+++ b/libs/peer/src/link.cpp
@@ -50,10 +50,18 @@
 
 void write(const link_ptr& it);
 
+void note_oldest(const link_ptr& it)
+{
+    const auto& oldest = it->writing.empty() ? it->waiting : it->writing;
+    it->queued_since =
+        oldest.empty() ? core::time_point::max() : oldest.front().sent_at;
+}
+
 void after_write(const link_ptr& it, const error_code& ec, std::size_t n)
 {
     it->writing.clear();
     it->queued_bytes -= n;
+    note_oldest(it);
     if (ec)
         return shut(it, lost(it, ec));
     write(it);
@@ -67,18 +75,19 @@
     std::vector<asio::const_buffer> bufs;
     bufs.reserve(it->writing.size());
     for (const auto& frame : it->writing)
-        bufs.emplace_back(frame.data(), frame.size());
+        bufs.emplace_back(frame.bytes.data(), frame.bytes.size());
     asio::async_write(it->socket, bufs,
                       [it](const error_code& ec, std::size_t n)
                       { after_write(it, ec, n); });
 }
 
-void enqueue(const link_ptr& it, frame what)
+void enqueue(const link_ptr& it, queued_frame what)
 {
     if (it->close_reported)
         return;
     it->waiting.push_back(std::move(what));
     write(it);
+    note_oldest(it);
 }
 
 /// Starts the time limit of the frame whose first bytes have arrived.
@@ -201,8 +210,21 @@
             it, {core::error_kind::overloaded,
                  "the write queue to " + to_string(it->remote) +
                      " is full; the host reads too slowly, connect again"});
-    asio::post(it->socket.get_executor(), [it, made = std::move(made)]() mutable
-               { detail::enqueue(it, std::move(made)); });
+    asio::post(it->socket.get_executor(),
+               [it, made = std::move(made),
+                now = core::runtime_clock::now()]() mutable {
+                   detail::enqueue(it, {std::move(made), now});
+               });
+}
+
+send_backlog backlog_of(const link_ptr& it, core::time_point now)
+{
+    send_backlog out;
+    out.bytes = it->queued_bytes;
+    const auto since = it->queued_since.load();
+    if (since < now)
+        out.age = now - since;
+    return out;
 }
 
 void close(const link_ptr& it)
--- a/libs/peer/src/link_state.hpp
+++ b/libs/peer/src/link_state.hpp
@@ -26,6 +26,13 @@
 using strand_timer = boost::asio::basic_waitable_timer<
     core::runtime_clock, boost::asio::wait_traits<core::runtime_clock>, strand>;
 
+/// A frame that is not written yet.
+struct queued_frame
+{
+    frame bytes;
+    core::time_point sent_at;
+};
+
 }  // namespace detail
 
 /// Members other than the atomics and `remote` are used on the strand of
@@ -45,10 +52,12 @@
     message_handler on_message;
     closed_handler on_closed;
     detail::frame_buffer input;
-    std::vector<detail::frame> waiting;
-    std::vector<detail::frame> writing;
+    std::vector<detail::queued_frame> waiting;
+    std::vector<detail::queued_frame> writing;
     /// Bytes handed to `send` and not written yet.
     std::atomic<std::size_t> queued_bytes{0};
+    /// When the oldest of them was handed to `send`; `max` if there is none.
+    std::atomic<core::time_point> queued_since{core::time_point::max()};
     std::atomic<bool> open{true};
     bool connecting = false;
     bool close_reported = false;
--- a/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
+++ b/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
@@ -80,6 +80,21 @@
 /// Open connections of callers and the memory that they hold.
 void set_caller_load(metrics& to, std::size_t connections, std::size_t bytes);
 
+/// Counts bytes of a topic, for example "sessions", handed to a link to another
+/// host.
+void count_host_bytes(metrics& to, std::string_view topic, std::size_t bytes);
+
+/// What waits to be written to other hosts, and since when at the most.
+void set_host_backlog(metrics& to, std::size_t bytes,
+                      std::chrono::nanoseconds oldest);
+
+/// How late the event loop ran a timer.
+void observe_loop_delay(metrics& to, std::chrono::nanoseconds late);
+
+/// Counts a caller session that ends because its owner was given up, by what
+/// its outstanding statement was answered, for example "in_doubt" or "none".
+void count_lost_session(metrics& to, std::string_view outcome);
+
 /// Prometheus text format 0.0.4, for /metrics.
 std::string expose(const metrics& of);
 
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -49,6 +49,11 @@
     detail::counter_family* closed_callers = nullptr;
     prometheus::Gauge* caller_bytes = nullptr;
     detail::counter_family* refusals = nullptr;
+    detail::counter_family* host_bytes = nullptr;
+    prometheus::Gauge* host_backlog_bytes = nullptr;
+    prometheus::Gauge* host_backlog_seconds = nullptr;
+    prometheus::Histogram* loop_delay = nullptr;
+    detail::counter_family* lost_sessions = nullptr;
     detail::gauge_family* queue_length = nullptr;
     /// Keeps a gauge of `queue_length` alive while it is set.
     core::ordered_mutex<core::lock_level::metrics> queue_mutex;
@@ -166,6 +171,28 @@
         "Requests that wait for a slot, by server and rank");
 }
 
+void add_host_metrics(metrics& it)
+{
+    it.host_bytes = &family(it.registry, prometheus::BuildCounter,
+                            "godwitbarrow_host_sent_bytes_total",
+                            "Bytes handed to links to other hosts, by topic");
+    it.host_backlog_bytes =
+        add_gauge(it, "godwitbarrow_host_backlog_bytes",
+                  "Bytes that wait to be written to other hosts");
+    it.host_backlog_seconds =
+        add_gauge(it, "godwitbarrow_host_backlog_seconds",
+                  "Age of the oldest message that waits to be written");
+    it.loop_delay = &family(it.registry, prometheus::BuildHistogram,
+                            "godwitbarrow_loop_delay_seconds",
+                            "How late the event loop ran a timer")
+                         .Add({}, bounds_with({}));
+    it.lost_sessions =
+        &family(it.registry, prometheus::BuildCounter,
+                "godwitbarrow_lost_sessions_total",
+                "Relayed sessions whose owner was given up, by the answer to "
+                "the outstanding statement");
+}
+
 prometheus::Labels queue_labels(const core::server_id& server, core::rank it)
 {
     auto out = of_rank(it);
@@ -216,6 +243,7 @@
     detail::add_read_metrics(*it);
     detail::add_state_metrics(*it);
     detail::add_labelled_metrics(*it);
+    detail::add_host_metrics(*it);
     return it;
 }
 
@@ -283,6 +311,29 @@
     to.refusals->Add({{"reason", detail::text(reason)}}).Increment();
 }
 
+void count_host_bytes(metrics& to, std::string_view topic, std::size_t bytes)
+{
+    to.host_bytes->Add({{"topic", detail::text(topic)}})
+        .Increment(static_cast<double>(bytes));
+}
+
+void set_host_backlog(metrics& to, std::size_t bytes,
+                      std::chrono::nanoseconds oldest)
+{
+    to.host_backlog_bytes->Set(static_cast<double>(bytes));
+    to.host_backlog_seconds->Set(detail::seconds(oldest).count());
+}
+
+void observe_loop_delay(metrics& to, std::chrono::nanoseconds late)
+{
+    to.loop_delay->Observe(detail::seconds(late).count());
+}
+
+void count_lost_session(metrics& to, std::string_view outcome)
+{
+    to.lost_sessions->Add({{"outcome", detail::text(outcome)}}).Increment();
+}
+
 void count_retry(metrics& to, core::rank importance)
 {
     to.retries[core::index_of(importance)]->Increment();
