--- a/test/pooled/fleet.hpp
+++ b/test/pooled/fleet.hpp
@@ -174,10 +174,12 @@
         done.get_future().wait();
     }
 
-    /// As the operator does while the hosts run.
-    void write_configuration(int version)
+    /// As the operator does while the hosts run. Returns the size of the text.
+    std::size_t write_configuration(int version, int routes = 0)
     {
-        at_store([&] { configure(version); });
+        std::size_t out = 0;
+        at_store([&] { out = configure(version, routes); });
+        return out;
     }
 
     template <class Condition>
@@ -191,12 +193,29 @@
     }
 
 private:
-    void configure(int version)
-    {
-        store.put("op", "config",
-                  R"({"version":)" + std::to_string(version) +
-                      R"(,"routes":[],"services":[],)"
-                      R"("limits":{"tx_idle_ms":3000}})");
+    /// A route of a database, with the comma before the next one.
+    static std::string route(int number)
+    {
+        return R"({"name":"r)" + std::to_string(number) +
+               R"(","host":"database-)" + std::to_string(number) +
+               R"(","type":"primary","timeout_ms":2000,"slo_ms":4000,)"
+               R"("priority":0,"service":"quotes","max_stale_ms":0},)";
+    }
+
+    std::size_t configure(int version, int routes = 0)
+    {
+        std::string all;
+        for (int n = 0; n < routes; ++n)
+            all += route(n);
+        if (!all.empty())
+            all.pop_back();
+        const auto text =
+            R"({"version":)" + std::to_string(version) + R"(,"routes":[)" +
+            all +
+            R"(],"services":[{"name":"quotes","max_conns":16,)"
+            R"("sync_replicas":0}],"limits":{"tx_idle_ms":3000}})";
+        store.put("op", "config", text);
+        return text.size();
     }
 };
 
