Fetch large contents from other hosts in chunks

Callers of a host that reads the store lost their sessions beside a change of the configuration: their owners were taken for silent.

Cause: the reader handed a copy of the whole text to each of its links at once, both readers of a data centre to the same hosts, and one more host answered all that asked for the text. Statements and heartbeats waited behind it on the network interface that all links share (2.2 MB, 1.8 s at 10 Mbit/s), and the owner was given up after 1 s.

A host now tells of an update above 8 KiB. Hosts that lack it fetch it, one content at a time and from the nearest host that has it. The sender has a chunk of 16 KiB under way to two hosts at most; the request for the next chunk shows that one has arrived. What is sent next to any host waits behind no more than 32 KiB. Hosts of earlier versions get and send whole updates as before.

a_large_configuration in pooled_test failed before (1.5 MB sent for a text of 0.19 MB, 0.77 MB at once) and passes.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -11,6 +11,7 @@
 
 #include "caller_table.hpp"
 #include "configuration_table.hpp"
+#include "content_table.hpp"
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/lock_order.hpp"
 #include "godwitbarrow/gateway/admin.hpp"
@@ -110,6 +111,7 @@
     relay_table relays;
     quota_table quotas;
     configuration_table configuration;
+    content_table contents;
     store_observation store;
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
--- a/apps/proxy/src/pooled/configuration_exchange.cpp
+++ b/apps/proxy/src/pooled/configuration_exchange.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/post.hpp>
 #include <mutex>
 
+#include "content_exchange.hpp"
 #include "godwitbarrow/hosts/messages.hpp"
+#include "godwitbarrow/platform/records.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "mesh.hpp"
 #include "store_link.hpp"
@@ -18,59 +20,111 @@
 
 using std::chrono::milliseconds;
 
-/// A reader of the store usually sends a new configuration within this time.
+/// A reader of the store in the own data centre usually sends a new
+/// configuration within this time.
 constexpr milliseconds ask_delay{100};
+/// The same for hosts that are farther away, and for a host that reads the
+/// store itself.
+constexpr milliseconds far_ask_delay{300};
 constexpr milliseconds ask_again{500};
 /// Below the limit of a frame between hosts.
 constexpr std::size_t largest_text = std::size_t{1000} * 1000;
+const std::string text_content = "configuration";
+const std::string row_content =
+    "table/" + std::string(platform::operator_table);
 
 void send(app& it, const core::host_id& to, const hosts::message& what)
 {
     send_to_host(it, to, peer::topic::configuration, hosts::encode(what));
 }
 
-/// The host with the highest version above the own one.
-std::optional<core::host_id> find_newest(const configuration_table& from)
+/// Where a newer configuration is to be had.
+struct newer_configuration
 {
-    const auto n = std::max_element(from.told.begin(), from.told.end(),
-                                    [](const auto& a, const auto& b)
-                                    { return a.second < b.second; });
-    if (n == from.told.end() || n->second <= from.version)
+    std::uint64_t version = 0;
+    /// Hosts that serve it in chunks.
+    std::vector<core::host_id> sources;
+    /// A host that sends it whole, if no other has it.
+    std::optional<core::host_id> sender;
+};
+
+std::optional<newer_configuration> find_newer(const configuration_table& from)
+{
+    newer_configuration out;
+    for (const auto& [host, told] : from.told)
+        out.version = std::max(out.version, told.version);
+    if (out.version <= from.version)
         return std::nullopt;
-    return n->first;
+    for (const auto& [host, told] : from.told)
+    {
+        if (told.version <= from.version)
+            continue;
+        if (told.fetches)
+            out.sources.push_back(host);
+        else if (told.version == out.version)
+            out.sender = host;
+    }
+    return out;
+}
+
+/// Fetches the rows of the operator, which every host needs in any case. Those
+/// of a store that was restored from a copy may be older than the text.
+void fetch_newer(app& it, const newer_configuration& from)
+{
+    bool rows = false;
+    {
+        std::lock_guard lock(it.configuration.mutex);
+        auto& table = it.configuration;
+        if (table.version >= from.version)
+            return;
+        rows = table.fetched_rows < from.version;
+        table.fetched_rows = from.version;
+    }
+    rows = rows || is_wanted(it, row_content);
+    for (const auto& host : from.sources)
+        fetch_content(it, rows ? row_content : text_content, host);
 }
 
 /// Asks for a newer configuration until it is in force or no host has it.
 void ask_for_newest(app& it)
 {
-    std::optional<core::host_id> to;
-    std::uint64_t version = 0;
+    std::optional<newer_configuration> from;
     const auto now = core::runtime_clock::now();
     {
         std::lock_guard lock(it.configuration.mutex);
         auto& table = it.configuration;
-        to = find_newest(table);
-        if (!to || (table.asked && now - *table.asked < ask_again))
+        from = find_newer(table);
+        if (!from || (table.asked && now - *table.asked < ask_again))
             return;
         table.asked = now;
-        version = table.told[*to];
     }
-    telemetry::log_event(telemetry::log_level::info, "configuration asked for",
-                         {{"peer", *to}, {"version", version}});
-    send(it, *to, hosts::configuration_request{version});
+    if (!from->sources.empty())
+        boost::asio::post(it.hosts.strand, [&it, from = std::move(*from)]
+                          { fetch_newer(it, from); });
+    else if (from->sender)
+        send(it, *from->sender, hosts::configuration_request{from->version});
     after(it, ask_again, [&it] { ask_for_newest(it); });
 }
 
-void take_notice(app& it, const core::host_id& from, std::uint64_t version)
+bool is_nearby(const app& it, const core::host_id& host)
+{
+    const auto known = find_host(it, host);
+    return known && known->data_centre == it.settings.data_centre;
+}
+
+void take_notice(app& it, const core::host_id& from,
+                 const hosts::configuration_notice& what)
 {
     {
         std::lock_guard lock(it.configuration.mutex);
         auto& told = it.configuration.told[from];
-        told = std::max(told, version);
-        if (version <= it.configuration.version)
+        told.version = std::max(told.version, what.version);
+        told.fetches = what.fetches;
+        if (what.version <= it.configuration.version)
             return;
     }
-    after(it, ask_delay, [&it] { ask_for_newest(it); });
+    after(it, is_nearby(it, from) ? ask_delay : far_ask_delay,
+          [&it] { ask_for_newest(it); });
 }
 
 void answer_request(app& it, const core::host_id& to, std::uint64_t version)
@@ -100,7 +154,7 @@
         return;
     auto& what = std::get<hosts::message>(read);
     if (const auto* n = std::get_if<hosts::configuration_notice>(&what))
-        return take_notice(it, from, n->version);
+        return take_notice(it, from, *n);
     if (const auto* n = std::get_if<hosts::configuration_request>(&what))
         return answer_request(it, from, n->version);
     if (auto* n = std::get_if<hosts::configuration_content>(&what))
@@ -119,9 +173,25 @@
         table.told.erase(peer);
         return;
     }
-    table.told[peer] = 0;
+    table.told[peer] = {};
     if (table.version > 0)
-        send(it, peer, hosts::configuration_notice{table.version});
+        send(it, peer, hosts::configuration_notice{table.version, true});
+}
+
+transfer::content_ptr newest_text(const app& it)
+{
+    std::lock_guard lock(it.configuration.mutex);
+    const auto& table = it.configuration;
+    if (table.version == 0)
+        return nullptr;
+    return std::make_shared<transfer::content>(
+        transfer::content{{0, table.version}, table.text});
+}
+
+bool lacks(const app& it, const transfer::revision& at)
+{
+    std::lock_guard lock(it.configuration.mutex);
+    return at.version > it.configuration.version;
 }
 
 }  // namespace
@@ -130,6 +200,14 @@
 void exchange_configurations(app& it, configuration_handler handler)
 {
     it.configuration.handler = std::move(handler);
+    add_content(
+        it, detail::text_content,
+        {[&it] { return detail::newest_text(it); },
+         [&it](const transfer::revision& at) { return detail::lacks(it, at); },
+         [&it](const transfer::arrived_content& got)
+         {
+             it.configuration.handler(got.what.bytes);
+         }});
     on_host_message(it, peer::topic::configuration,
                     [&it](const core::host_id& from, std::string_view bytes)
                     { detail::take_message(it, from, bytes); });
@@ -146,7 +224,7 @@
     table.version = version;
     table.text = std::move(text);
     for (const auto& [host, told] : table.told)
-        detail::send(it, host, hosts::configuration_notice{version});
+        detail::send(it, host, hosts::configuration_notice{version, true});
     return true;
 }
 
@@ -160,7 +238,7 @@
 {
     std::lock_guard lock(it.configuration.mutex);
     const auto n = it.configuration.told.find(host);
-    return n == it.configuration.told.end() ? 0 : n->second;
+    return n == it.configuration.told.end() ? 0 : n->second.version;
 }
 
 bool is_as_new_as(const app& it, const core::host_id& host)
@@ -168,7 +246,7 @@
     std::lock_guard lock(it.configuration.mutex);
     const auto n = it.configuration.told.find(host);
     return n == it.configuration.told.end() ||
-           n->second <= it.configuration.in_force;
+           n->second.version <= it.configuration.in_force;
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/configuration_table.hpp
+++ b/apps/proxy/src/pooled/configuration_table.hpp
@@ -13,6 +13,15 @@
 namespace godwitbarrow::proxy::pooled
 {
 
+/// What another host has told of its configuration.
+struct told_configuration
+{
+    /// 0 if it has told none.
+    std::uint64_t version = 0;
+    /// It serves the configuration in chunks.
+    bool fetches = false;
+};
+
 /// The configuration of this host and the versions of others.
 struct configuration_table
 {
@@ -23,9 +32,11 @@
     std::uint64_t in_force = 0;
     /// As the operator wrote it.
     std::string text;
-    /// Hosts with an open link; 0 if they have told no version.
-    std::map<core::host_id, std::uint64_t> told;
+    /// Hosts with an open link.
+    std::map<core::host_id, told_configuration> told;
     std::optional<core::time_point> asked;
+    /// The version whose rows were fetched first.
+    std::uint64_t fetched_rows = 0;
     /// Not changed after the start.
     std::function<void(const std::string&)> handler;
 };
--- a/apps/proxy/src/pooled/mesh.cpp
+++ b/apps/proxy/src/pooled/mesh.cpp
@@ -290,6 +290,16 @@
     return out;
 }
 
+std::optional<hosts::peer_host> find_host(const app& it,
+                                          const core::host_id& host)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    const auto n = it.mesh.hosts.find(host);
+    if (n == it.mesh.hosts.end())
+        return std::nullopt;
+    return n->second;
+}
+
 hosts::peer_host own_host(const app& it)
 {
     hosts::peer_host out;
--- a/apps/proxy/src/pooled/mesh.hpp
+++ b/apps/proxy/src/pooled/mesh.hpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -31,6 +32,10 @@
 /// The other live hosts by name, without this one.
 std::vector<hosts::peer_host> other_hosts(const app& it);
 
+/// Nothing if the host is not a live one.
+std::optional<hosts::peer_host> find_host(const app& it,
+                                          const core::host_id& host);
+
 /// This host as others see it.
 hosts::peer_host own_host(const app& it);
 
--- a/apps/proxy/src/pooled/row_share.cpp
+++ b/apps/proxy/src/pooled/row_share.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
+#include "content_exchange.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "mesh.hpp"
 #include "store_link.hpp"
@@ -19,20 +20,33 @@
 /// Below the limit of a frame, which also holds the last row of a part.
 constexpr std::size_t part_bytes = std::size_t{256} * 1024;
 
-/// An update above this size is logged.
-constexpr std::size_t logged_bytes = std::size_t{64} * 1024;
+/// A larger update is not sent unasked.
+constexpr std::size_t pushed_bytes = std::size_t{8} * 1024;
 
+std::string content_name(const std::string& table)
+{
+    return "table/" + table;
+}
+
+std::size_t size_of(const hosts::row_update& update)
+{
+    std::size_t out = 0;
+    for (const auto& row : update.rows)
+        out += row.key.size() + row.value.size();
+    return out;
+}
+
+/// Sends a small update, and tells of a large one.
 void send_update(app& it, const core::host_id& to,
                  const hosts::row_update& update)
 {
-    std::size_t bytes = 0;
+    const auto bytes = size_of(update);
+    if (bytes > pushed_bytes && it.hosts.linked[to].fetches)
+        return offer_content(it, to, content_name(update.name),
+                             {update.era, update.version});
     for (auto& part : hosts::split(update, part_bytes))
-    {
-        auto encoded = hosts::encode(std::move(part));
-        bytes += encoded.size();
-        send_to_host(it, to, peer::topic::rows, std::move(encoded));
-    }
-    if (bytes >= logged_bytes)
+        send_to_host(it, to, peer::topic::rows, hosts::encode(std::move(part)));
+    if (bytes > pushed_bytes)
         telemetry::log_event(telemetry::log_level::info, "rows sent",
                              {{"peer", to},
                               {"table", update.name},
@@ -40,6 +54,15 @@
                               {"bytes", bytes}});
 }
 
+/// Asks a host that has more of the table for all of it.
+void ask_for_table(app& it, const core::host_id& from, const std::string& table)
+{
+    if (it.hosts.linked[from].fetches)
+        return fetch_content(it, content_name(table), from);
+    send_to_host(it, from, peer::topic::rows,
+                 hosts::encode(hosts::row_request{table}));
+}
+
 void pass_on(app& it, const hosts::row_update& update,
              const std::optional<core::host_id>& from)
 {
@@ -89,10 +112,10 @@
     note_store_era(it, update.era);
     const auto result = hosts::apply(table.copy, update, now);
     if (result == hosts::update_result::gap && from)
-        send_to_host(it, *from, peer::topic::rows,
-                     hosts::encode(hosts::row_request{update.name}));
+        ask_for_table(it, *from, update.name);
     if (result != hosts::update_result::applied)
         return;
+    cancel_unneeded(it, content_name(update.name));
     advance_watch(table.watch, {table.copy.version, table.copy.era});
     if (!update.whole && update.rows.empty())
         return;
@@ -130,12 +153,54 @@
     return role.appointed ? watch_pace::prompt : watch_pace::relaxed;
 }
 
+/// The table as hosts fetch it from this one.
+transfer::content_ptr table_content(const followed_table& of)
+{
+    if (!of.copy.known)
+        return nullptr;
+    const auto update =
+        hosts::whole_update(of.copy, core::runtime_clock::now());
+    return std::make_shared<transfer::content>(
+        transfer::content{{update.era, update.version}, hosts::encode(update)});
+}
+
+bool lacks(const followed_table& it, const transfer::revision& at)
+{
+    const auto& own = it.copy;
+    return !own.known || at.era > own.era ||
+           (at.era == own.era && at.version > own.version);
+}
+
+void take_fetched(app& it, followed_table& table, transfer::arrived_content got)
+{
+    auto what = hosts::decode(got.what.bytes);
+    auto* body = std::get_if<hosts::message>(&what);
+    auto* update = body ? std::get_if<hosts::row_update>(body) : nullptr;
+    if (!update || update->name != table.copy.name || !update->whole)
+        return;
+    update->age += std::chrono::ceil<milliseconds>(got.age);
+    take_update(it, table, *update, got.from);
+}
+
+void share_table(app& it, followed_table& table)
+{
+    add_content(
+        it, content_name(table.copy.name),
+        {[&table] { return table_content(table); },
+         [&table](const transfer::revision& at) { return lacks(table, at); },
+         [&it, &table](transfer::arrived_content got)
+         {
+             take_fetched(it, table, std::move(got));
+         }});
+}
+
 void begin_to_follow(app& it, const std::string& name, const watch_times& times,
                      row_handler handler)
 {
     auto& table = it.hosts.tables[name];
     table.copy.name = name;
     table.handler = std::move(handler);
+    share_table(it, table);
     table.watch = watch_table(
         it, name, times,
         [&it, &table](const platform::row_page& page,
@@ -199,8 +264,7 @@
             ahead.erase(position.name);
         // The rows may just be on their way after the first heartbeat.
         else if (!ahead.insert(position.name).second)
-            send_to_host(it, from, peer::topic::rows,
-                         hosts::encode(hosts::row_request{position.name}));
+            detail::ask_for_table(it, from, position.name);
     }
 }
 
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -13,6 +13,7 @@
 #include "app.hpp"
 #include "caller_guard.hpp"
 #include "configuration_exchange.hpp"
+#include "content_exchange.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "host_census.hpp"
 #include "link_watch.hpp"
@@ -174,6 +175,7 @@
         return http;
     start_relaying(it);
     accept_heartbeats(it);
+    exchange_contents(it);
     accept_shared_rows(it);
     start_quotas(it);
     exchange_configurations(
--- a/libs/hosts/include/godwitbarrow/hosts/messages.hpp
+++ b/libs/hosts/include/godwitbarrow/hosts/messages.hpp
@@ -45,6 +45,9 @@
     std::vector<table_position> tables;
     /// The sender relies on the receiver's heartbeats.
     bool follows = false;
+    /// The sender fetches large updates and serves them. Others get them
+    /// unasked.
+    bool fetches = false;
 };
 
 struct table_row
@@ -84,9 +87,12 @@
 struct configuration_notice
 {
     std::uint64_t version = 0;
+    /// The sender serves the rows and the text of it in chunks.
+    bool fetches = false;
 };
 
-/// Asks for the configuration of this version or a newer one.
+/// Asks for the configuration of this version or a newer one. Only for hosts
+/// that do not serve it in chunks.
 struct configuration_request
 {
     std::uint64_t version = 0;
--- a/libs/hosts/src/messages.cpp
+++ b/libs/hosts/src/messages.cpp
@@ -47,10 +47,11 @@
             to, to.CreateString(n.name), n.era, n.version, wire_age(n.age)));
     const auto all_signs = to.CreateVector(signs);
     const auto all_tables = to.CreateVector(tables);
-    return {wire::body::body_status,
-            wire::Createstatus(to, all_signs, it.leaving, it.reads_store,
-                               it.wants_rows, all_tables, it.follows)
-                .Union()};
+    return {
+        wire::body::body_status,
+        wire::Createstatus(to, all_signs, it.leaving, it.reads_store,
+                           it.wants_rows, all_tables, it.follows, it.fetches)
+            .Union()};
 }
 
 chosen_body put(builder& to, const row_update& it)
@@ -80,8 +81,9 @@
 
 chosen_body put(builder& to, const configuration_notice& it)
 {
-    return {wire::body::body_configuration_notice,
-            wire::Createconfiguration_notice(to, it.version).Union()};
+    return {
+        wire::body::body_configuration_notice,
+        wire::Createconfiguration_notice(to, it.version, it.fetches).Union()};
 }
 
 chosen_body put(builder& to, const configuration_request& it)
@@ -151,6 +153,7 @@
     out.reads_store = it.reads_store();
     out.wants_rows = it.wants_rows();
     out.follows = it.follows();
+    out.fetches = it.fetches();
     return out;
 }
 
@@ -186,8 +189,10 @@
         case wire::body::body_row_request:
             return row_request{get(in, it.body_as_row_request()->name())};
         case wire::body::body_configuration_notice:
-            return configuration_notice{
-                it.body_as_configuration_notice()->version()};
+        {
+            const auto* n = it.body_as_configuration_notice();
+            return configuration_notice{n->version(), n->fetches()};
+        }
         case wire::body::body_configuration_request:
             return configuration_request{
                 it.body_as_configuration_request()->version()};
--- a/libs/peer/include/godwitbarrow/peer/messages.hpp
+++ b/libs/peer/include/godwitbarrow/peer/messages.hpp
@@ -134,7 +134,9 @@
     /// Caller sessions that another host serves.
     sessions = 4,
     /// Quota of tenants.
-    quotas = 5
+    quotas = 5,
+    /// Large contents that hosts fetch from each other.
+    transfers = 6
 };
 
 /// Name of the topic in logs and metrics.
--- a/libs/peer/src/encode.cpp
+++ b/libs/peer/src/encode.cpp
@@ -235,6 +235,8 @@
             return "sessions";
         case topic::quotas:
             return "quotas";
+        case topic::transfers:
+            return "transfers";
     }
     return "unknown";
 }
--- /dev/null
+++ b/libs/transfer/src/receiver.cpp
@@ -0,0 +1,200 @@
+#include "godwitbarrow/transfer/receiver.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include "godwitbarrow/routing/owner.hpp"
+
+namespace godwitbarrow::transfer
+{
+namespace detail
+{
+namespace
+{
+
+bool is_fetched(const receiver& it, const std::string& name)
+{
+    return it.now && it.now->name == name;
+}
+
+/// The nearest source. Hosts that know the same sources choose different ones.
+core::host_id choose_source(const receiver& it, const wanted_content& of)
+{
+    const auto rank = [&](const auto& source)
+    {
+        return std::tuple(
+            source.second,
+            ~routing::rendezvous_hash(it.self.value, source.first.value));
+    };
+    return std::min_element(of.sources.begin(), of.sources.end(),
+                            [&](const auto& a, const auto& b)
+                            { return rank(a) < rank(b); })
+        ->first;
+}
+
+void begin_fetch(receiver& it, const std::string& name,
+                 const core::host_id& from, core::time_point now,
+                 std::vector<outgoing>& out)
+{
+    fetch f;
+    f.name = name;
+    f.from = from;
+    f.began = now;
+    f.heard = now;
+    it.now = std::move(f);
+    out.push_back({from, request{name, {}, 0}});
+}
+
+/// Starts the next fetch if there is none.
+void fetch_next(receiver& it, core::time_point now, std::vector<outgoing>& out)
+{
+    if (it.now || it.wanted.empty())
+        return;
+    const auto& [name, what] = *it.wanted.begin();
+    begin_fetch(it, name, choose_source(it, what), now, out);
+}
+
+/// Ends the fetch; the source learns that nothing more is asked for.
+void stop_fetch(receiver& it, std::vector<outgoing>& out)
+{
+    out.push_back({it.now->from, finished{it.now->name}});
+    it.now.reset();
+}
+
+void remove_source(receiver& it, const std::string& name,
+                   const core::host_id& host)
+{
+    const auto n = it.wanted.find(name);
+    if (n == it.wanted.end())
+        return;
+    n->second.sources.erase(host);
+    if (n->second.sources.empty())
+        it.wanted.erase(n);
+}
+
+/// Whether the chunk continues what has arrived. One at the start begins anew.
+bool fits(const fetch& to, const chunk& it)
+{
+    return it.offset == 0 || (it.at == to.at && it.offset == to.bytes.size());
+}
+
+/// Whether another source is likely to send sooner than the one that was asked.
+bool is_better(const fetch& it, const core::host_id& other, distance away,
+               distance asked)
+{
+    if (!it.bytes.empty() || other == it.from)
+        return false;
+    return away < asked || (it.queued && away == asked);
+}
+
+std::chrono::milliseconds silence_limit(const receiver& it)
+{
+    return it.now->queued ? it.limits.queued_silence : it.limits.silence;
+}
+
+}  // namespace
+}  // namespace detail
+
+std::vector<outgoing> want(receiver& it, const std::string& name,
+                           const core::host_id& from, distance away,
+                           core::time_point now)
+{
+    std::vector<outgoing> out;
+    auto& sources = it.wanted[name].sources;
+    sources[from] = away;
+    if (detail::is_fetched(it, name) &&
+        detail::is_better(*it.now, from, away, sources[it.now->from]))
+    {
+        detail::stop_fetch(it, out);
+        detail::begin_fetch(it, name, from, now, out);
+    }
+    detail::fetch_next(it, now, out);
+    return out;
+}
+
+std::vector<outgoing> cancel(receiver& it, const std::string& name,
+                             core::time_point now)
+{
+    std::vector<outgoing> out;
+    it.wanted.erase(name);
+    if (detail::is_fetched(it, name))
+        detail::stop_fetch(it, out);
+    detail::fetch_next(it, now, out);
+    return out;
+}
+
+receiver_result take_chunk(receiver& it, const core::host_id& from, chunk what,
+                           core::time_point now)
+{
+    receiver_result out;
+    if (!detail::is_fetched(it, what.name) || it.now->from != from)
+        return out;
+    auto& f = *it.now;
+    if (what.size > it.limits.content_bytes || !detail::fits(f, what))
+    {
+        detail::remove_source(it, f.name, from);
+        detail::stop_fetch(it, out.to_send);
+        detail::fetch_next(it, now, out.to_send);
+        return out;
+    }
+    f.heard = now;
+    f.queued = false;
+    if (what.offset == 0)
+        f.bytes.clear();
+    f.at = what.at;
+    f.bytes += what.bytes;
+    if (f.bytes.size() < what.size && !what.bytes.empty())
+    {
+        out.to_send.push_back({from, request{f.name, f.at, f.bytes.size()}});
+        return out;
+    }
+    out.arrived = {f.name, from, {f.at, std::move(f.bytes)}, now - f.began};
+    it.wanted.erase(f.name);
+    detail::stop_fetch(it, out.to_send);
+    detail::fetch_next(it, now, out.to_send);
+    return out;
+}
+
+void take_queued(receiver& it, const core::host_id& from, const queued& what,
+                 core::time_point now)
+{
+    if (!detail::is_fetched(it, what.name) || it.now->from != from)
+        return;
+    it.now->heard = now;
+    it.now->queued = true;
+}
+
+std::vector<outgoing> lose_sender(receiver& it, const core::host_id& host,
+                                  core::time_point now)
+{
+    std::vector<outgoing> out;
+    for (auto n = it.wanted.begin(); n != it.wanted.end();)
+    {
+        n->second.sources.erase(host);
+        n = n->second.sources.empty() ? it.wanted.erase(n) : std::next(n);
+    }
+    if (it.now && it.now->from == host)
+        it.now.reset();
+    detail::fetch_next(it, now, out);
+    return out;
+}
+
+std::vector<outgoing> expire(receiver& it, core::time_point now)
+{
+    std::vector<outgoing> out;
+    if (!it.now || now - it.now->heard < detail::silence_limit(it))
+        return out;
+    detail::remove_source(it, it.now->name, it.now->from);
+    detail::stop_fetch(it, out);
+    detail::fetch_next(it, now, out);
+    return out;
+}
+
+std::optional<core::time_point> next_expiry(const receiver& it)
+{
+    if (!it.now)
+        return std::nullopt;
+    return it.now->heard + detail::silence_limit(it);
+}
+
+}  // namespace godwitbarrow::transfer
