Answer outstanding statements of an owner that is given up

A caller whose owner was given up was disconnected: a statement that was received whole got neither an outcome nor a refusal.

Cause: the entry host kept only the number of unanswered lines, so it could say nothing of them. It now keeps the id and kind of each. When the owner is lost, or ends the session while a line is on its way, each outstanding statement is answered before the connection is closed: aborted if nothing can have been committed, in doubt if a commit or a write outside a transaction is outstanding, busy for a session that has not begun. Parts of an answer are passed on in whole lines, so that such an answer never continues a broken line.

relay_test, or_frozen_disconnects_them_too: it expected the close without an answer, which is the fault. It now expects the answer, then the close.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -24,6 +24,7 @@
 #include "mesh_table.hpp"
 #include "quota_table.hpp"
 #include "relay_table.hpp"
+#include "request_log.hpp"
 
 /// The pooler as a process: connections, timers and the store around the
 /// decisions of `pooler`.
@@ -52,15 +53,6 @@
     std::vector<std::weak_ptr<stream::connection>> closing;
 };
 
-/// Bounds the log lines about requests. Used by the thread that performs
-/// actions only.
-struct request_log
-{
-    core::time_point second;
-    std::uint64_t written = 0;
-    std::uint64_t left_out = 0;
-};
-
 /// One group in the hands of `takeover`.
 struct takeover_entry
 {
@@ -113,6 +105,7 @@
     configuration_table configuration;
     content_table contents;
     store_observation store;
+    /// Used by the thread that performs actions.
     request_log requests;
     std::atomic<pooler::session_number> last_session{0};
     core::timer tick;
--- a/apps/proxy/src/pooled/relay.cpp
+++ b/apps/proxy/src/pooled/relay.cpp
@@ -183,8 +183,9 @@
 bool has_outstanding(const relay_table& all, const relay_peer& p)
 {
     return std::any_of(p.outbound.begin(), p.outbound.end(),
-                       [&](auto number)
-                       { return all.outbound.at(number).unanswered > 0; });
+                       [&](auto number) {
+                           return !all.outbound.at(number).outstanding.empty();
+                       });
 }
 
 /// What is to be done about the owners that are silent.
--- a/apps/proxy/src/pooled/relay.hpp
+++ b/apps/proxy/src/pooled/relay.hpp
@@ -47,7 +47,8 @@
 /// Called without locks.
 void take_answer(app& it, const core::host_id& from, relay::item what);
 void take_close(app& it, const core::host_id& from, const relay::item& what);
-/// Disconnects the callers whose sessions the host serves.
+/// Ends the sessions that the host serves. Outstanding statements are answered
+/// with what is known of them.
 void lose_owner(app& it, const core::host_id& owner, const char* reason);
 /// Disconnects idle callers whose owner or whose own host is shutting down.
 void end_draining_callers(app& it);
--- a/apps/proxy/src/pooled/relay_entry.cpp
+++ b/apps/proxy/src/pooled/relay_entry.cpp
@@ -1,6 +1,7 @@
 #include <mutex>
 
 #include "caller_guard.hpp"
+#include "godwitbarrow/platform/caller_wire.hpp"
 #include "godwitbarrow/telemetry/log.hpp"
 #include "links.hpp"
 #include "mesh.hpp"
@@ -17,8 +18,8 @@
 
 /// Of one session, not answered yet. The owner ends a session with more
 /// statements that wait for an earlier one.
-constexpr std::size_t max_unanswered = 32;
-constexpr std::size_t max_unanswered_bytes = std::size_t{2} * 1024 * 1024;
+constexpr std::size_t max_outstanding = 32;
+constexpr std::size_t max_outstanding_bytes = std::size_t{2} * 1024 * 1024;
 /// Callers of a host that is shutting down are disconnected once they are idle
 /// for this long.
 constexpr std::chrono::milliseconds shutdown_idle{50};
@@ -36,7 +37,7 @@
             continue;
         outbound_session s;
         s.owner = owner;
-        s.unanswered = 1;
+        s.outstanding.push_back({true, std::nullopt});
         it.relays.outbound.emplace(session, std::move(s));
         p->second.outbound.insert(session);
         return owner;
@@ -44,17 +45,24 @@
     return std::nullopt;
 }
 
-/// Forgets the session. Returns its owner, or nothing if it is not relayed.
-std::optional<core::host_id> forget(app& it, pooler::session_number session)
+/// Forgets the session. Returns it, or nothing if it is not relayed.
+std::optional<outbound_session> forget(app& it, pooler::session_number session)
 {
     std::lock_guard lock(it.relays.mutex);
     const auto n = it.relays.outbound.find(session);
     if (n == it.relays.outbound.end())
         return std::nullopt;
-    auto owner = std::move(n->second.owner);
+    auto out = std::move(n->second);
     it.relays.outbound.erase(n);
-    it.relays.peers[owner].outbound.erase(session);
-    return owner;
+    it.relays.peers[out.owner].outbound.erase(session);
+    return out;
+}
+
+void tell_disconnected(app& it, const core::host_id& owner,
+                       pooler::session_number session)
+{
+    send_item(it, owner,
+              relay::make_item(relay::item_kind::disconnected, session));
 }
 
 struct noted_line
@@ -64,36 +72,116 @@
 };
 
 std::optional<noted_line> note_line(app& it, pooler::session_number session,
-                                    std::size_t size)
+                                    std::string_view line)
 {
     std::lock_guard lock(it.relays.mutex);
     const auto n = it.relays.outbound.find(session);
     if (n == it.relays.outbound.end())
         return std::nullopt;
     auto& s = n->second;
-    ++s.unanswered;
-    s.unanswered_bytes += size;
-    return noted_line{s.owner, s.unanswered > max_unanswered ||
-                                   s.unanswered_bytes > max_unanswered_bytes};
+    s.outstanding.push_back({false, platform::parse_statement_head(line)});
+    s.outstanding_bytes += line.size();
+    return noted_line{s.owner, s.outstanding.size() > max_outstanding ||
+                                   s.outstanding_bytes > max_outstanding_bytes};
 }
 
-/// False if the session is not one that the host serves.
-bool record_answer(app& it, const core::host_id& from, const relay::item& what)
+/// The whole lines of what has arrived; the rest is kept.
+std::string take_whole_lines(outbound_session& of, std::string bytes)
+{
+    constexpr std::string_view line_end = "\r\n";
+    of.partial_line += bytes;
+    const auto n = of.partial_line.rfind(line_end);
+    const auto size = n == std::string::npos ? 0 : n + line_end.size();
+    bytes = of.partial_line.substr(0, size);
+    of.partial_line.erase(0, size);
+    return bytes;
+}
+
+/// The bytes for the caller; nothing if the host does not serve the session.
+std::optional<std::string> record_answer(app& it, const core::host_id& from,
+                                         relay::item& what)
 {
     std::lock_guard lock(it.relays.mutex);
     const auto n = it.relays.outbound.find(what.session);
     if (n == it.relays.outbound.end() || n->second.owner != from)
-        return false;
+        return std::nullopt;
     auto& s = n->second;
+    if (what.more || !s.partial_line.empty())
+        what.bytes = take_whole_lines(s, std::move(what.bytes));
     if (what.more)
-        return true;
+        return std::move(what.bytes);
     s.idle = what.idle;
     s.last_answer = core::runtime_clock::now();
-    if (s.unanswered > 0)
-        --s.unanswered;
-    if (s.unanswered == 0)
-        s.unanswered_bytes = 0;
-    return true;
+    if (!s.outstanding.empty())
+        s.outstanding.pop_front();
+    if (s.outstanding.empty())
+        s.outstanding_bytes = 0;
+    return std::move(what.bytes);
+}
+
+/// What the caller is told of the lines that the owner has not answered.
+struct substitute_answer
+{
+    std::string bytes;
+    std::vector<pooler::outstanding_statement> statements;
+    /// Name of the outcome in logs and metrics.
+    std::string_view outcome = "none";
+};
+
+substitute_answer answer_for_owner(const outbound_session& of,
+                                   const std::string& reason)
+{
+    substitute_answer out;
+    if (!of.outstanding.empty() && of.outstanding.front().startup)
+    {
+        const pooler::failure refusal{pooler::failure_code::busy, reason};
+        out.bytes = platform::encode_refusal(refusal);
+        out.outcome = pooler::to_string(refusal.code);
+        return out;
+    }
+    for (const auto& line : of.outstanding)
+        if (line.statement)
+            out.statements.push_back(*line.statement);
+    for (const auto& a :
+         pooler::answer_without_owner(out.statements, !of.idle, reason))
+    {
+        out.bytes += platform::encode_answer(a);
+        out.outcome = pooler::to_string(pooler::failure_of(a)->code);
+    }
+    return out;
+}
+
+void log_requests(app& it, const substitute_answer& of,
+                  const core::host_id& owner, const std::string& reason)
+{
+    std::lock_guard lock(it.relays.mutex);
+    for (const auto& statement : of.statements)
+    {
+        if (!take_room(it.relays.requests))
+            continue;
+        telemetry::log_event(telemetry::log_level::info, "request not served",
+                             {{"request", statement.id},
+                              {"outcome", of.outcome},
+                              {"owner", owner},
+                              {"reason", reason}});
+    }
+}
+
+/// Ends the session of a caller whose owner serves it no longer. Each
+/// outstanding statement is answered before the connection is closed.
+void end_without_owner(app& it, pooler::session_number session,
+                       const std::string& reason)
+{
+    const auto ended = forget(it, session);
+    if (!ended)
+        return;
+    tell_disconnected(it, ended->owner, session);
+    auto answer = answer_for_owner(*ended, reason);
+    log_requests(it, answer, ended->owner, reason);
+    telemetry::count_lost_session(*it.metrics, answer.outcome);
+    if (!answer.bytes.empty())
+        send_to_caller(it, session, std::move(answer.bytes));
+    close_session(it, session);
 }
 
 std::vector<pooler::session_number> find_idle(app& it)
@@ -109,7 +197,7 @@
         for (const auto number : p.outbound)
         {
             const auto& s = it.relays.outbound.at(number);
-            if (s.idle && s.unanswered == 0 &&
+            if (s.idle && s.outstanding.empty() &&
                 now - s.last_answer >= shutdown_idle)
                 out.push_back(number);
         }
@@ -121,12 +209,14 @@
 
 void take_answer(app& it, const core::host_id& from, relay::item what)
 {
-    if (!record_answer(it, from, what))
+    auto bytes = record_answer(it, from, what);
+    if (!bytes)
         return;
     // The owner keeps the values of the session.
     if (!what.more)
         note_answer(it, what.session, 0, !what.idle);
-    send_to_caller(it, what.session, std::move(what.bytes));
+    if (!bytes->empty())
+        send_to_caller(it, what.session, std::move(*bytes));
 }
 
 void take_close(app& it, const core::host_id& from, const relay::item& what)
@@ -137,8 +227,7 @@
         if (n == it.relays.outbound.end() || n->second.owner != from)
             return;
     }
-    forget(it, what.session);
-    close_session(it, what.session);
+    end_without_owner(it, what.session, "the owner has ended the session");
 }
 
 void lose_owner(app& it, const core::host_id& owner, const char* reason)
@@ -151,7 +240,7 @@
         const auto& p = it.relays.peers[owner];
         lost = p.outbound;
         for (const auto session : lost)
-            outstanding += it.relays.outbound.at(session).unanswered > 0;
+            outstanding += !it.relays.outbound.at(session).outstanding.empty();
         if (p.heard_at)
             silence = core::runtime_clock::now() - *p.heard_at;
     }
@@ -167,21 +256,13 @@
                           {"waiting_age", waiting.age},
                           {"reason", reason}});
     for (const auto session : lost)
-    {
-        // Nothing is claimed about a statement that is not answered, and the
-        // caller may connect again at once.
-        end_relayed_caller(it, session);
-        disconnect_caller(it, session);
-    }
+        end_without_owner(it, session, reason);
 }
 
 void end_draining_callers(app& it)
 {
     for (const auto session : find_idle(it))
-    {
-        end_relayed_caller(it, session);
-        close_session(it, session);
-    }
+        end_without_owner(it, session, "the host is shutting down");
 }
 
 }  // namespace detail
@@ -206,7 +287,7 @@
 {
     if (!it.relays.used)
         return false;
-    const auto noted = detail::note_line(it, session, line.size());
+    const auto noted = detail::note_line(it, session, line);
     if (!noted)
         return false;
     if (noted->too_much)
@@ -230,11 +311,10 @@
 {
     if (!it.relays.used)
         return false;
-    const auto owner = detail::forget(it, session);
-    if (!owner)
+    const auto ended = detail::forget(it, session);
+    if (!ended)
         return false;
-    detail::send_item(
-        it, *owner, relay::make_item(relay::item_kind::disconnected, session));
+    detail::tell_disconnected(it, ended->owner, session);
     return true;
 }
 
--- a/apps/proxy/src/pooled/relay_table.hpp
+++ b/apps/proxy/src/pooled/relay_table.hpp
@@ -15,20 +15,32 @@
 #include "godwitbarrow/core/lock_order.hpp"
 #include "godwitbarrow/owners/owners.hpp"
 #include "godwitbarrow/pooler/events.hpp"
+#include "godwitbarrow/pooler/lost_owner.hpp"
 #include "godwitbarrow/relay/messages.hpp"
+#include "request_log.hpp"
 
 /// Sessions whose caller is connected to another host than the one that serves
 /// them.
 namespace godwitbarrow::proxy::pooled
 {
 
+/// A line of a caller that the owner has not answered yet.
+struct outstanding_line
+{
+    bool startup = false;
+    /// Absent for the startup and for a line that gets no answer.
+    std::optional<pooler::outstanding_statement> statement;
+};
+
 /// A session of a caller of this host that another host serves.
 struct outbound_session
 {
     core::host_id owner;
-    /// Lines that the owner has not answered yet, and their bytes.
-    std::size_t unanswered = 0;
-    std::size_t unanswered_bytes = 0;
+    std::deque<outstanding_line> outstanding;
+    std::size_t outstanding_bytes = 0;
+    /// The begin of a line of an answer. An answer of this host in place of the
+    /// owner's can only follow whole lines.
+    std::string partial_line;
     /// Whether it is outside a transaction.
     bool idle = true;
     core::time_point last_answer;
@@ -96,6 +108,8 @@
     std::unordered_map<pooler::session_number, inbound_session> inbound;
     /// Since when this host has been shutting down.
     std::optional<core::time_point> draining_since;
+    /// Of sessions whose owner is lost.
+    request_log requests;
     core::time_point last_watch{};
     /// Sends what is unsent, so that the items of one host keep their order.
     boost::asio::strand<boost::asio::io_context::executor_type> strand;
--- a/apps/proxy/src/pooled/reports.cpp
+++ b/apps/proxy/src/pooled/reports.cpp
@@ -10,26 +10,6 @@
 namespace
 {
 
-/// Lines about requests in a second; the rest is counted.
-constexpr std::uint64_t most_request_lines = 200;
-
-/// Whether there is room for a line. Tells once a second what was left out.
-bool take_room(request_log& it)
-{
-    const auto now = core::runtime_clock::now();
-    if (now - it.second >= std::chrono::seconds(1))
-    {
-        if (it.left_out > 0)
-            telemetry::log_event(telemetry::log_level::warning,
-                                 "request lines left out",
-                                 {{"count", it.left_out}});
-        it = {now, 0, 0};
-    }
-    const bool room = it.written < most_request_lines;
-    ++(room ? it.written : it.left_out);
-    return room;
-}
-
 std::string age_text(const std::optional<std::chrono::milliseconds>& it)
 {
     return it ? std::to_string(it->count()) + "ms" : "unknown";
@@ -46,7 +26,7 @@
                                     {{"group", what.group},
                                      {"server", what.server},
                                      {"detail", what.detail}});
-    if (!detail::take_room(it.requests))
+    if (!take_room(it.requests))
         return;
     telemetry::log_event(
         level, "request not served",
--- a/test/pooled/relay_test.cpp
+++ b/test/pooled/relay_test.cpp
@@ -49,7 +49,7 @@
 
 // Guards against callers that wait for an owner which is frozen or cut off:
 // its link stays open.
-BOOST_FIXTURE_TEST_CASE(or_frozen_disconnects_them_too, owner_fleet)
+BOOST_FIXTURE_TEST_CASE(or_frozen_answers_and_disconnects_them, owner_fleet)
 {
     caller it(port_of(entry()), "newest");
     it.line();
@@ -57,6 +57,8 @@
     std::promise<void> thaw;
     asio::post(owner_in_use().app->io, [&] { thaw.get_future().wait(); });
     it.write("QUERY 5c0e7a21 READ 1");
+    BOOST_TEST(it.line().rfind("ERROR ABORTED ", 0) == 0U);
+    BOOST_TEST(it.line() == "READY I -");
     BOOST_TEST(it.line() == "closed");
     caller next(port_of(entry()), "newest");
     BOOST_TEST(next.line() == "READY I -");
