--- a/apps/proxy/src/pooled/configuration_exchange.cpp
+++ b/apps/proxy/src/pooled/configuration_exchange.cpp
@@ -38,14 +38,20 @@
     send_to_host(it, to, peer::topic::configuration, hosts::encode(what));
 }
 
-/// Where a newer configuration is to be had.
+/// A host that serves a newer configuration in chunks.
+struct newer_holder
+{
+    core::host_id host;
+    told_configuration told;
+};
+
+/// The hosts that have a newer configuration.
 struct newer_configuration
 {
     std::uint64_t version = 0;
-    /// Hosts that serve it in chunks.
-    std::vector<core::host_id> sources;
-    /// A host that sends it whole, if no other has it.
-    std::optional<core::host_id> sender;
+    std::vector<newer_holder> holders;
+    /// A host of an earlier version of the program that sends the text whole.
+    std::optional<core::host_id> whole_sender;
 };
 
 std::optional<newer_configuration> find_newer(const configuration_table& from)
@@ -60,29 +66,23 @@
         if (told.version <= from.version)
             continue;
         if (told.fetches)
-            out.sources.push_back(host);
+            out.holders.push_back({host, told});
         else if (told.version == out.version)
-            out.sender = host;
+            out.whole_sender = host;
     }
     return out;
 }
 
-/// Fetches the rows of the operator, which every host needs in any case. Those
-/// of a store that was restored from a copy may be older than the text.
+/// Fetches the rows of the operator, which every host needs in any case. After
+/// a restore of the store they may be older than the text, which is fetched
+/// then.
 void fetch_newer(app& it, const newer_configuration& from)
 {
-    bool rows = false;
-    {
-        std::lock_guard lock(it.configuration.mutex);
-        auto& table = it.configuration;
-        if (table.version >= from.version)
-            return;
-        rows = table.fetched_rows < from.version;
-        table.fetched_rows = from.version;
-    }
-    rows = rows || is_wanted(it, row_content);
-    for (const auto& host : from.sources)
-        fetch_content(it, rows ? row_content : text_content, host);
+    for (const auto& [host, told] : from.holders)
+        if (told.rows && lacks_content(it, row_content, *told.rows))
+            fetch_content(it, row_content, host, *told.rows);
+        else if (lacks_content(it, text_content, {0, told.version}))
+            fetch_content(it, text_content, host, {0, told.version});
 }
 
 /// Asks for a newer configuration until it is in force or no host has it.
@@ -98,11 +98,12 @@
             return;
         table.asked = now;
     }
-    if (!from->sources.empty())
+    if (!from->holders.empty())
         boost::asio::post(it.hosts.strand, [&it, from = std::move(*from)]
                           { fetch_newer(it, from); });
-    else if (from->sender)
-        send(it, *from->sender, hosts::configuration_request{from->version});
+    else if (from->whole_sender)
+        send(it, *from->whole_sender,
+             hosts::configuration_request{from->version});
     after(it, ask_again, [&it] { ask_for_newest(it); });
 }
 
@@ -120,6 +121,9 @@
         auto& told = it.configuration.told[from];
         told.version = std::max(told.version, what.version);
         told.fetches = what.fetches;
+        told.rows.reset();
+        if (what.rows_version > 0)
+            told.rows = {what.rows_era, what.rows_version};
         if (what.version <= it.configuration.version)
             return;
     }
@@ -162,6 +166,12 @@
                           { it.configuration.handler(text); });
 }
 
+hosts::configuration_notice make_notice(const configuration_table& of)
+{
+    const auto rows = of.rows.value_or(transfer::revision{});
+    return {of.version, true, rows.era, rows.version};
+}
+
 /// Sent under the lock, so that no version is left out between the first notice
 /// on a link and the next.
 void take_link(app& it, const core::host_id& peer, bool open)
@@ -175,7 +185,7 @@
     }
     table.told[peer] = {};
     if (table.version > 0)
-        send(it, peer, hosts::configuration_notice{table.version, true});
+        send(it, peer, make_notice(table));
 }
 
 transfer::content_ptr newest_text(const app& it)
@@ -215,7 +225,8 @@
                  { detail::take_link(it, peer, open); });
 }
 
-bool announce_configuration(app& it, std::uint64_t version, std::string text)
+bool announce_configuration(app& it, std::uint64_t version, std::string text,
+                            const std::optional<transfer::revision>& rows)
 {
     std::lock_guard lock(it.configuration.mutex);
     auto& table = it.configuration;
@@ -223,15 +234,20 @@
         return false;
     table.version = version;
     table.text = std::move(text);
+    table.rows = rows;
     for (const auto& [host, told] : table.told)
-        detail::send(it, host, hosts::configuration_notice{version, true});
+        detail::send(it, host, detail::make_notice(table));
     return true;
 }
 
 void note_in_force(app& it, std::uint64_t version)
 {
-    std::lock_guard lock(it.configuration.mutex);
-    it.configuration.in_force = version;
+    {
+        std::lock_guard lock(it.configuration.mutex);
+        it.configuration.in_force = version;
+    }
+    boost::asio::post(it.hosts.strand,
+                      [&it] { forget_satisfied(it, detail::text_content); });
 }
 
 std::uint64_t version_told_by(const app& it, const core::host_id& host)
--- a/apps/proxy/src/pooled/configuration_exchange.hpp
+++ b/apps/proxy/src/pooled/configuration_exchange.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "app.hpp"
@@ -20,8 +21,10 @@
 void exchange_configurations(app& it, configuration_handler handler);
 
 /// Tells the linked hosts of a configuration that is about to be in force here.
+/// `rows` is the revision of the operator's table that it came with, if any.
 /// Returns false if one of this version or a later one was announced.
-bool announce_configuration(app& it, std::uint64_t version, std::string text);
+bool announce_configuration(app& it, std::uint64_t version, std::string text,
+                            const std::optional<transfer::revision>& rows);
 
 /// An announced configuration is in force.
 void note_in_force(app& it, std::uint64_t version);
--- a/apps/proxy/src/pooled/configuration_table.hpp
+++ b/apps/proxy/src/pooled/configuration_table.hpp
@@ -9,6 +9,7 @@
 #include "godwitbarrow/core/clock.hpp"
 #include "godwitbarrow/core/lock_order.hpp"
 #include "godwitbarrow/core/names.hpp"
+#include "godwitbarrow/transfer/messages.hpp"
 
 namespace godwitbarrow::proxy::pooled
 {
@@ -20,6 +21,8 @@
     std::uint64_t version = 0;
     /// It serves the configuration in chunks.
     bool fetches = false;
+    /// Of the operator's table; absent if the host has the text only.
+    std::optional<transfer::revision> rows;
 };
 
 /// The configuration of this host and the versions of others.
@@ -32,11 +35,11 @@
     std::uint64_t in_force = 0;
     /// As the operator wrote it.
     std::string text;
+    /// Of the rows that it came with, if any.
+    std::optional<transfer::revision> rows;
     /// Hosts with an open link.
     std::map<core::host_id, told_configuration> told;
     std::optional<core::time_point> asked;
-    /// The version whose rows were fetched first.
-    std::uint64_t fetched_rows = 0;
     /// Not changed after the start.
     std::function<void(const std::string&)> handler;
 };
--- a/apps/proxy/src/pooled/content_exchange.cpp
+++ b/apps/proxy/src/pooled/content_exchange.cpp
@@ -76,7 +76,7 @@
 {
     const auto n = it.contents.kinds.find(what.name);
     if (n != it.contents.kinds.end() && n->second.lacks(what.at))
-        fetch_content(it, what.name, from);
+        fetch_content(it, what.name, from, what.at);
 }
 
 void take(app& it, const core::host_id& from, const transfer::request& what)
@@ -87,9 +87,12 @@
 
 void take(app& it, const core::host_id& from, const transfer::finished& what)
 {
+    const auto now = core::runtime_clock::now();
+    auto& all = it.contents;
+    // Either host may end a transfer.
     send(it,
-         transfer::take_finished(it.contents.sender, from, what, source_of(it),
-                                 core::runtime_clock::now()));
+         transfer::take_finished(all.sender, from, what, source_of(it), now));
+    send(it, transfer::take_finished(all.receiver, from, what, now));
 }
 
 void take(app& it, const core::host_id& from, const transfer::queued& what)
@@ -169,28 +172,27 @@
                  transfer::encode(transfer::notice{name, at}));
 }
 
-void fetch_content(app& it, const std::string& name, const core::host_id& from)
+void fetch_content(app& it, const std::string& name, const core::host_id& from,
+                   const transfer::revision& at)
 {
     detail::send(it, transfer::want(it.contents.receiver, name, from,
-                                    detail::distance_of(it, from),
+                                    {detail::distance_of(it, from), at},
                                     core::runtime_clock::now()));
 }
 
-bool is_wanted(const app& it, const std::string& name)
+bool lacks_content(const app& it, const std::string& name,
+                   const transfer::revision& at)
 {
-    return it.contents.receiver.wanted.count(name) > 0;
+    const auto n = it.contents.kinds.find(name);
+    return n != it.contents.kinds.end() && n->second.lacks(at);
 }
 
-void cancel_unneeded(app& it, const std::string& name)
+void forget_satisfied(app& it, const std::string& name)
 {
-    const auto& fetched = it.contents.receiver.now;
-    const bool newer = fetched && fetched->name == name &&
-                       !fetched->bytes.empty() &&
-                       it.contents.kinds.at(name).lacks(fetched->at);
-    if (newer || !is_wanted(it, name))
-        return;
-    detail::send(it, transfer::cancel(it.contents.receiver, name,
-                                      core::runtime_clock::now()));
+    detail::send(it,
+                 transfer::forget_satisfied(it.contents.receiver, name,
+                                            it.contents.kinds.at(name).lacks,
+                                            core::runtime_clock::now()));
 }
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/content_exchange.hpp
+++ b/apps/proxy/src/pooled/content_exchange.hpp
@@ -20,13 +20,14 @@
 void offer_content(app& it, const core::host_id& to, const std::string& name,
                    const transfer::revision& at);
 
-/// Fetches the content from this host or another that has it.
-void fetch_content(app& it, const std::string& name, const core::host_id& from);
+/// Fetches the content from this host, which has the revision, or from another.
+void fetch_content(app& it, const std::string& name, const core::host_id& from,
+                   const transfer::revision& at);
 
-/// Whether the content is fetched or is to be.
-bool is_wanted(const app& it, const std::string& name);
+bool lacks_content(const app& it, const std::string& name,
+                   const transfer::revision& at);
 
 /// Ends the fetch of what this host no longer lacks.
-void cancel_unneeded(app& it, const std::string& name);
+void forget_satisfied(app& it, const std::string& name);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/relay.hpp
+++ b/apps/proxy/src/pooled/relay.hpp
@@ -22,6 +22,10 @@
 /// Sessions of callers of this host that other hosts serve.
 std::size_t count_relayed_callers(app& it);
 
+/// Ends these sessions; outstanding statements are answered with what is known
+/// of them.
+void end_relayed_callers(app& it);
+
 /// Entry host: hands a new session over to an owner of the group of its
 /// database, unless this host is to serve it.
 bool relay_session(app& it, pooler::session_number session,
--- a/apps/proxy/src/pooled/relay_entry.cpp
+++ b/apps/proxy/src/pooled/relay_entry.cpp
@@ -58,8 +58,8 @@
     return out;
 }
 
-void tell_disconnected(app& it, const core::host_id& owner,
-                       pooler::session_number session)
+void notify_disconnected(app& it, const core::host_id& owner,
+                         pooler::session_number session)
 {
     send_item(it, owner,
               relay::make_item(relay::item_kind::disconnected, session));
@@ -85,15 +85,21 @@
                                    s.outstanding_bytes > max_outstanding_bytes};
 }
 
-/// The whole lines of what has arrived; the rest is kept.
-std::string take_whole_lines(outbound_session& of, std::string bytes)
+/// The lines of what has arrived but the last whole one, which may be the
+/// result, and the begin of the next.
+std::string take_rows(outbound_session& of, std::string bytes)
 {
     constexpr std::string_view line_end = "\r\n";
-    of.partial_line += bytes;
-    const auto n = of.partial_line.rfind(line_end);
-    const auto size = n == std::string::npos ? 0 : n + line_end.size();
-    bytes = of.partial_line.substr(0, size);
-    of.partial_line.erase(0, size);
+    of.unfinished += bytes;
+    const auto last = of.unfinished.rfind(line_end);
+    if (last == std::string::npos || last == 0)
+        return {};
+    const auto before = of.unfinished.rfind(line_end, last - 1);
+    if (before == std::string::npos)
+        return {};
+    const auto size = before + line_end.size();
+    bytes = of.unfinished.substr(0, size);
+    of.unfinished.erase(0, size);
     return bytes;
 }
 
@@ -106,10 +112,10 @@
     if (n == it.relays.outbound.end() || n->second.owner != from)
         return std::nullopt;
     auto& s = n->second;
-    if (what.more || !s.partial_line.empty())
-        what.bytes = take_whole_lines(s, std::move(what.bytes));
     if (what.more)
-        return std::move(what.bytes);
+        return take_rows(s, std::move(what.bytes));
+    if (!s.unfinished.empty())
+        what.bytes = std::exchange(s.unfinished, {}) + what.bytes;
     s.idle = what.idle;
     s.last_answer = core::runtime_clock::now();
     if (!s.outstanding.empty())
@@ -119,13 +125,15 @@
     return std::move(what.bytes);
 }
 
+constexpr std::string_view no_outcome = "none";
+
 /// What the caller is told of the lines that the owner has not answered.
 struct substitute_answer
 {
     std::string bytes;
     std::vector<pooler::outstanding_statement> statements;
     /// Name of the outcome in logs and metrics.
-    std::string_view outcome = "none";
+    std::string_view outcome = no_outcome;
 };
 
 substitute_answer answer_for_owner(const outbound_session& of,
@@ -159,7 +167,8 @@
     {
         if (!take_room(it.relays.requests))
             continue;
-        telemetry::log_event(telemetry::log_level::info, "request not served",
+        telemetry::log_event(telemetry::log_level::info,
+                             "request not answered by its owner",
                              {{"request", statement.id},
                               {"outcome", of.outcome},
                               {"owner", owner},
@@ -169,19 +178,21 @@
 
 /// Ends the session of a caller whose owner serves it no longer. Each
 /// outstanding statement is answered before the connection is closed.
-void end_without_owner(app& it, pooler::session_number session,
-                       const std::string& reason)
+/// Returns what it was answered.
+std::string_view end_without_owner(app& it, pooler::session_number session,
+                                   const std::string& reason)
 {
+    std::lock_guard lock(it.relays.answers);
     const auto ended = forget(it, session);
     if (!ended)
-        return;
-    tell_disconnected(it, ended->owner, session);
+        return no_outcome;
+    notify_disconnected(it, ended->owner, session);
     auto answer = answer_for_owner(*ended, reason);
     log_requests(it, answer, ended->owner, reason);
-    telemetry::count_lost_session(*it.metrics, answer.outcome);
     if (!answer.bytes.empty())
         send_to_caller(it, session, std::move(answer.bytes));
     close_session(it, session);
+    return answer.outcome;
 }
 
 std::vector<pooler::session_number> find_idle(app& it)
@@ -209,6 +220,7 @@
 
 void take_answer(app& it, const core::host_id& from, relay::item what)
 {
+    std::lock_guard lock(it.relays.answers);
     auto bytes = record_answer(it, from, what);
     if (!bytes)
         return;
@@ -256,7 +268,8 @@
                           {"waiting_age", waiting.age},
                           {"reason", reason}});
     for (const auto session : lost)
-        end_without_owner(it, session, reason);
+        telemetry::count_lost_session(*it.metrics,
+                                      end_without_owner(it, session, reason));
 }
 
 void end_draining_callers(app& it)
@@ -267,6 +280,18 @@
 
 }  // namespace detail
 
+void end_relayed_callers(app& it)
+{
+    std::vector<pooler::session_number> all;
+    {
+        std::lock_guard lock(it.relays.mutex);
+        for (const auto& [session, s] : it.relays.outbound)
+            all.push_back(session);
+    }
+    for (const auto session : all)
+        detail::end_without_owner(it, session, "the host is shutting down");
+}
+
 bool relay_session(app& it, pooler::session_number session,
                    const std::string& database, std::string_view line)
 {
@@ -296,8 +321,7 @@
             telemetry::log_level::warning, "caller disconnected",
             {{"owner", noted->owner},
              {"reason", "it sends more than the owner has answered"}});
-        end_relayed_caller(it, session);
-        disconnect_caller(it, session);
+        detail::end_without_owner(it, session, "too many statements wait");
         return true;
     }
     note_statement(it, session, line.size());
@@ -314,7 +338,7 @@
     const auto ended = detail::forget(it, session);
     if (!ended)
         return false;
-    detail::tell_disconnected(it, ended->owner, session);
+    detail::notify_disconnected(it, ended->owner, session);
     return true;
 }
 
--- a/apps/proxy/src/pooled/relay_table.hpp
+++ b/apps/proxy/src/pooled/relay_table.hpp
@@ -38,9 +38,9 @@
     core::host_id owner;
     std::deque<outstanding_line> outstanding;
     std::size_t outstanding_bytes = 0;
-    /// The begin of a line of an answer. An answer of this host in place of the
-    /// owner's can only follow whole lines.
-    std::string partial_line;
+    /// The end of what has arrived of an answer. An answer of this host in
+    /// place of the owner's can only follow whole rows.
+    std::string unfinished;
     /// Whether it is outside a transaction.
     bool idle = true;
     core::time_point last_answer;
@@ -102,6 +102,9 @@
     }
 
     core::ordered_mutex<core::lock_level::relays> mutex;
+    /// Held while what is outstanding changes and the caller is told, so that
+    /// an answer of the owner and one in its place never cross.
+    core::ordered_mutex<core::lock_level::relayed_answers> answers;
     std::map<core::group_id, owners::ownership> groups;
     std::map<core::host_id, relay_peer> peers;
     std::unordered_map<pooler::session_number, outbound_session> outbound;
--- a/apps/proxy/src/pooled/row_share.cpp
+++ b/apps/proxy/src/pooled/row_share.cpp
@@ -54,11 +54,10 @@
                               {"bytes", bytes}});
 }
 
-/// Asks a host that has more of the table for all of it.
+/// Asks a host that has more of the table for all of it. A small table comes
+/// at once, however many large ones are fetched.
 void ask_for_table(app& it, const core::host_id& from, const std::string& table)
 {
-    if (it.hosts.linked[from].fetches)
-        return fetch_content(it, content_name(table), from);
     send_to_host(it, from, peer::topic::rows,
                  hosts::encode(hosts::row_request{table}));
 }
@@ -115,7 +114,7 @@
         ask_for_table(it, *from, update.name);
     if (result != hosts::update_result::applied)
         return;
-    cancel_unneeded(it, content_name(update.name));
+    forget_satisfied(it, content_name(update.name));
     advance_watch(table.watch, {table.copy.version, table.copy.era});
     if (!update.whole && update.rows.empty())
         return;
@@ -179,6 +178,7 @@
     if (!update || update->name != table.copy.name || !update->whole)
         return;
     update->age += std::chrono::ceil<milliseconds>(got.age);
+    update->store_time += std::chrono::floor<milliseconds>(got.took);
     take_update(it, table, *update, got.from);
 }
 
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -77,6 +77,8 @@
     const auto waited = core::runtime_clock::now() - began;
     const bool finished = open == 0 && waited >= balancer_delay;
     const bool late = waited >= it.settings.grace - exit_margin;
+    if (waited >= it.settings.grace - exit_margin - answer_margin)
+        end_relayed_callers(it);
     if (((finished || late) && !sending) ||
         waited >= it.settings.grace - kill_margin)
     {
@@ -178,8 +180,8 @@
     exchange_contents(it);
     accept_shared_rows(it);
     start_quotas(it);
-    exchange_configurations(
-        it, [&it](const std::string& text) { apply_configuration(it, text); });
+    exchange_configurations(it, [&it](const std::string& text)
+                            { apply_configuration(it, text, std::nullopt); });
     auto mesh = start_mesh(it);
     if (!ok(mesh))
         return mesh;
--- a/apps/proxy/src/pooled/store_watch.cpp
+++ b/apps/proxy/src/pooled/store_watch.cpp
@@ -25,7 +25,8 @@
 {
     for (const auto& row : page.rows)
         if (row.key == platform::configuration_key && !row.deleted)
-            apply_configuration(it, row.value);
+            apply_configuration(it, row.value,
+                                transfer::revision{page.era, page.version});
 }
 
 struct registered
@@ -139,7 +140,8 @@
 }  // namespace
 }  // namespace detail
 
-void apply_configuration(app& it, const std::string& text)
+void apply_configuration(app& it, const std::string& text,
+                         const std::optional<transfer::revision>& rows)
 {
     auto parsed = platform::parse_configuration(text);
     if (const auto* e = std::get_if<core::error>(&parsed))
@@ -148,7 +150,7 @@
                                     {{"reason", e->message}});
     auto& made = std::get<pooler::configuration>(parsed);
     const auto version = made.version;
-    if (!announce_configuration(it, version, text))
+    if (!announce_configuration(it, version, text, rows))
         return;
     handle(it, pooler::configuration_changed{std::move(made)});
     note_in_force(it, version);
--- a/libs/core/include/godwitbarrow/core/lock_order.hpp
+++ b/libs/core/include/godwitbarrow/core/lock_order.hpp
@@ -15,6 +15,7 @@
     takeovers = 35,
     group_state = 40,
     transactions = 50,
+    relayed_answers = 55,
     connections = 60,
     callers = 63,
     relays = 65,
--- a/libs/hosts/include/godwitbarrow/hosts/messages.hpp
+++ b/libs/hosts/include/godwitbarrow/hosts/messages.hpp
@@ -89,6 +89,10 @@
     std::uint64_t version = 0;
     /// The sender serves the rows and the text of it in chunks.
     bool fetches = false;
+    /// Era and version of the operator's table with it; 0 if the sender has the
+    /// text only.
+    std::uint64_t rows_era = 0;
+    std::uint64_t rows_version = 0;
 };
 
 /// Asks for the configuration of this version or a newer one. Only for hosts
--- a/libs/hosts/src/messages.cpp
+++ b/libs/hosts/src/messages.cpp
@@ -81,9 +81,10 @@
 
 chosen_body put(builder& to, const configuration_notice& it)
 {
-    return {
-        wire::body::body_configuration_notice,
-        wire::Createconfiguration_notice(to, it.version, it.fetches).Union()};
+    return {wire::body::body_configuration_notice,
+            wire::Createconfiguration_notice(to, it.version, it.fetches,
+                                             it.rows_era, it.rows_version)
+                .Union()};
 }
 
 chosen_body put(builder& to, const configuration_request& it)
@@ -191,7 +192,8 @@
         case wire::body::body_configuration_notice:
         {
             const auto* n = it.body_as_configuration_notice();
-            return configuration_notice{n->version(), n->fetches()};
+            return configuration_notice{n->version(), n->fetches(),
+                                        n->rows_era(), n->rows_version()};
         }
         case wire::body::body_configuration_request:
             return configuration_request{
--- a/libs/pooler/src/lost_owner.cpp
+++ b/libs/pooler/src/lost_owner.cpp
@@ -18,19 +18,9 @@
     return !in_transaction && (kind == verb::write || kind == verb::execute);
 }
 
-bool in_transaction_after(verb kind, bool before)
+bool ends_transaction(verb kind)
 {
-    switch (kind)
-    {
-        case verb::begin:
-        case verb::begin_read:
-            return true;
-        case verb::commit:
-        case verb::rollback:
-            return false;
-        default:
-            return before;
-    }
+    return kind == verb::commit || kind == verb::rollback;
 }
 
 bool any_may_commit(const std::vector<outstanding_statement>& all,
@@ -40,7 +30,8 @@
     {
         if (may_commit(it.kind, in_transaction))
             return true;
-        in_transaction = in_transaction_after(it.kind, in_transaction);
+        // A begin that is outstanding, too, may have been refused.
+        in_transaction = in_transaction && !ends_transaction(it.kind);
     }
     return false;
 }
@@ -59,8 +50,7 @@
     out.reserve(all.size());
     for (const auto& it : all)
     {
-        in_transaction =
-            in_transaction && detail::in_transaction_after(it.kind, true);
+        in_transaction = in_transaction && !detail::ends_transaction(it.kind);
         answer a;
         a.result = failure{code, reason};
         a.state = in_transaction ? session_state::failed_transaction
--- a/libs/transfer/include/godwitbarrow/transfer/messages.hpp
+++ b/libs/transfer/include/godwitbarrow/transfer/messages.hpp
@@ -24,6 +24,12 @@
     return a.era == b.era && a.version == b.version;
 }
 
+/// Whether the revision is of a later era, or later in the same one.
+inline bool is_later(const revision& a, const revision& b)
+{
+    return a.era != b.era ? a.era > b.era : a.version > b.version;
+}
+
 /// The sender has this revision and serves it on request.
 struct notice
 {
@@ -56,7 +62,8 @@
     std::string name;
 };
 
-/// The receiver has everything or asks for no more.
+/// The receiver has everything or asks for no more, or the sender has nothing
+/// to send.
 struct finished
 {
     std::string name;
--- a/libs/transfer/include/godwitbarrow/transfer/receiver.hpp
+++ b/libs/transfer/include/godwitbarrow/transfer/receiver.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,10 +34,17 @@
     std::uint64_t content_bytes = std::uint64_t{64} * 1024 * 1024;
 };
 
+/// A host that has told which revision of a content it has.
+struct content_holder
+{
+    distance away = distance::far;
+    revision at;
+};
+
 /// A content that is to be fetched, from one of these hosts.
 struct wanted_content
 {
-    std::map<core::host_id, distance> sources;
+    std::map<core::host_id, content_holder> sources;
 };
 
 struct fetch
@@ -45,8 +53,11 @@
     core::host_id from;
     revision at;
     std::string bytes;
-    /// When the first request was sent; the content is not older.
+    std::uint64_t size = 0;
+    /// When the first request was sent; the content was read later.
     core::time_point began;
+    /// When its begin has arrived; the content was read before.
+    core::time_point begun;
     core::time_point heard;
     bool queued = false;
 };
@@ -67,6 +78,8 @@
     content what;
     /// Since before the sender read it.
     core::duration age{0};
+    /// Since its begin has arrived, after the sender read it.
+    core::duration took{0};
 };
 
 struct receiver_result
@@ -79,17 +92,22 @@
 /// fetched, or in place of a host that has sent nothing yet and is farther away
 /// or serves others first.
 std::vector<outgoing> want(receiver& it, const std::string& name,
-                           const core::host_id& from, distance away,
-                           core::time_point now);
+                           const core::host_id& from,
+                           const content_holder& holder, core::time_point now);
 
-/// The content is not needed any more.
-std::vector<outgoing> cancel(receiver& it, const std::string& name,
-                             core::time_point now);
+/// Forgets the hosts that have nothing of the content which this host lacks.
+/// `lacks` tells whether it lacks a revision.
+std::vector<outgoing> forget_satisfied(
+    receiver& it, const std::string& name,
+    const std::function<bool(const revision&)>& lacks, core::time_point now);
 
 receiver_result take_chunk(receiver& it, const core::host_id& from, chunk what,
                            core::time_point now);
 void take_queued(receiver& it, const core::host_id& from, const queued& what,
                  core::time_point now);
+/// The host has nothing to send.
+std::vector<outgoing> take_finished(receiver& it, const core::host_id& from,
+                                    const finished& what, core::time_point now);
 
 /// The link to the host is closed.
 std::vector<outgoing> lose_sender(receiver& it, const core::host_id& host,
--- a/libs/transfer/src/receiver.cpp
+++ b/libs/transfer/src/receiver.cpp
@@ -23,7 +23,7 @@
     const auto rank = [&](const auto& source)
     {
         return std::tuple(
-            source.second,
+            source.second.away,
             ~routing::rendezvous_hash(it.self.value, source.first.value));
     };
     return std::min_element(of.sources.begin(), of.sources.end(),
@@ -72,10 +72,51 @@
         it.wanted.erase(n);
 }
 
-/// Whether the chunk continues what has arrived. One at the start begins anew.
+/// Whether the chunk continues what has arrived, or is the begin.
 bool fits(const fetch& to, const chunk& it)
 {
-    return it.offset == 0 || (it.at == to.at && it.offset == to.bytes.size());
+    const bool complete = it.offset + it.bytes.size() == it.size;
+    if (it.bytes.empty() && !complete)
+        return false;
+    return it.offset == 0 || (it.at == to.at && it.size == to.size &&
+                              it.offset == to.bytes.size());
+}
+
+void add_chunk(fetch& to, chunk what, core::time_point now)
+{
+    if (what.offset == 0)
+    {
+        to.bytes.clear();
+        to.begun = now;
+    }
+    to.heard = now;
+    to.queued = false;
+    to.at = what.at;
+    to.size = what.size;
+    to.bytes += what.bytes;
+}
+
+template <class Condition>
+void remove_sources(receiver& it, const std::string& name, Condition condition)
+{
+    const auto n = it.wanted.find(name);
+    if (n == it.wanted.end())
+        return;
+    auto& all = n->second.sources;
+    for (auto source = all.begin(); source != all.end();)
+        source =
+            condition(source->second) ? all.erase(source) : std::next(source);
+    if (all.empty())
+        it.wanted.erase(n);
+}
+
+/// Turns to another host after one that cannot be used.
+void replace_source(receiver& it, core::time_point now,
+                    std::vector<outgoing>& out)
+{
+    remove_source(it, it.now->name, it.now->from);
+    stop_fetch(it, out);
+    fetch_next(it, now, out);
 }
 
 /// Whether another source is likely to send sooner than the one that was asked.
@@ -96,14 +137,15 @@
 }  // namespace detail
 
 std::vector<outgoing> want(receiver& it, const std::string& name,
-                           const core::host_id& from, distance away,
-                           core::time_point now)
+                           const core::host_id& from,
+                           const content_holder& holder, core::time_point now)
 {
     std::vector<outgoing> out;
     auto& sources = it.wanted[name].sources;
-    sources[from] = away;
-    if (detail::is_fetched(it, name) &&
-        detail::is_better(*it.now, from, away, sources[it.now->from]))
+    sources[from] = holder;
+    const auto asked = it.now ? sources.find(it.now->from) : sources.end();
+    if (detail::is_fetched(it, name) && asked != sources.end() &&
+        detail::is_better(*it.now, from, holder.away, asked->second.away))
     {
         detail::stop_fetch(it, out);
         detail::begin_fetch(it, name, from, now, out);
@@ -112,12 +154,19 @@
     return out;
 }
 
-std::vector<outgoing> cancel(receiver& it, const std::string& name,
-                             core::time_point now)
+std::vector<outgoing> forget_satisfied(
+    receiver& it, const std::string& name,
+    const std::function<bool(const revision&)>& lacks, core::time_point now)
 {
     std::vector<outgoing> out;
-    it.wanted.erase(name);
-    if (detail::is_fetched(it, name))
+    detail::remove_sources(it, name,
+                           [&](const auto& n) { return !lacks(n.at); });
+    if (!detail::is_fetched(it, name))
+        return out;
+    const auto& f = *it.now;
+    const bool needed =
+        f.bytes.empty() ? it.wanted.count(name) > 0 : lacks(f.at);
+    if (!needed)
         detail::stop_fetch(it, out);
     detail::fetch_next(it, now, out);
     return out;
@@ -132,24 +181,21 @@
     auto& f = *it.now;
     if (what.size > it.limits.content_bytes || !detail::fits(f, what))
     {
-        detail::remove_source(it, f.name, from);
-        detail::stop_fetch(it, out.to_send);
-        detail::fetch_next(it, now, out.to_send);
+        detail::replace_source(it, now, out.to_send);
         return out;
     }
-    f.heard = now;
-    f.queued = false;
-    if (what.offset == 0)
-        f.bytes.clear();
-    f.at = what.at;
-    f.bytes += what.bytes;
-    if (f.bytes.size() < what.size && !what.bytes.empty())
+    detail::add_chunk(f, std::move(what), now);
+    if (f.bytes.size() < f.size)
     {
         out.to_send.push_back({from, request{f.name, f.at, f.bytes.size()}});
         return out;
     }
-    out.arrived = {f.name, from, {f.at, std::move(f.bytes)}, now - f.began};
-    it.wanted.erase(f.name);
+    // What other hosts have beyond this revision is fetched next.
+    const auto at = f.at;
+    out.arrived = {
+        f.name, from, {at, std::move(f.bytes)}, now - f.began, now - f.begun};
+    detail::remove_sources(it, f.name,
+                           [&](const auto& n) { return !is_later(n.at, at); });
     detail::stop_fetch(it, out.to_send);
     detail::fetch_next(it, now, out.to_send);
     return out;
@@ -164,6 +210,15 @@
     it.now->queued = true;
 }
 
+std::vector<outgoing> take_finished(receiver& it, const core::host_id& from,
+                                    const finished& what, core::time_point now)
+{
+    std::vector<outgoing> out;
+    if (detail::is_fetched(it, what.name) && it.now->from == from)
+        detail::replace_source(it, now, out);
+    return out;
+}
+
 std::vector<outgoing> lose_sender(receiver& it, const core::host_id& host,
                                   core::time_point now)
 {
@@ -184,9 +239,7 @@
     std::vector<outgoing> out;
     if (!it.now || now - it.now->heard < detail::silence_limit(it))
         return out;
-    detail::remove_source(it, it.now->name, it.now->from);
-    detail::stop_fetch(it, out);
-    detail::fetch_next(it, now, out);
+    detail::replace_source(it, now, out);
     return out;
 }
 
--- a/libs/transfer/src/sender.cpp
+++ b/libs/transfer/src/sender.cpp
@@ -41,9 +41,14 @@
         it.waiting.pop_front();
         auto what = source(next.what.name);
         if (!what)
+        {
+            out.push_back({next.to, finished{next.what.name}});
             continue;
+        }
         it.served.push_back({next.to, next.what.name, std::move(what), now});
-        out.push_back({next.to, make_chunk(it, it.served.back(), next.what)});
+        // The same revision may be read anew, with other ages in it.
+        out.push_back({next.to, make_chunk(it, it.served.back(),
+                                           request{next.what.name, {}, 0})});
     }
 }
 
--- a/test/pooled/large_configuration_test.cpp
+++ b/test/pooled/large_configuration_test.cpp
@@ -65,8 +65,8 @@
         });
     // Long enough for a copy that is asked for again.
     std::this_thread::sleep_for(1s);
-    const auto copies = hosts.size() - 1;
-    BOOST_TEST(bytes_sent() - before < copies * size);
+    const auto copies = that_read(false).size();
+    BOOST_TEST(bytes_sent() - before < copies * size + size / 2);
 }
 
 // Guards against statements and heartbeats that wait behind copies for other
--- a/test/pooled/lost_owner_test.cpp
+++ b/test/pooled/lost_owner_test.cpp
@@ -6,11 +6,14 @@
 namespace
 {
 
+const std::string written = "DONE sig | READY I -";
+
 /// A caller whose owner stops all work while its link stays open.
 struct frozen_owner : owner_fleet
 {
     caller it{port_of(entry()), "newest"};
     std::promise<void> thaw;
+    bool resumed = false;
 
     frozen_owner()
     {
@@ -20,7 +23,13 @@
 
     ~frozen_owner()
     {
-        thaw.set_value();
+        resume();
+    }
+
+    void resume()
+    {
+        if (!std::exchange(resumed, true))
+            thaw.set_value();
     }
 
     void freeze()
@@ -75,7 +84,11 @@
     BOOST_TEST(outcome_of(query_frozen("WRITE 1 y")) ==
                "ERROR ABORTED | READY E -");
     BOOST_TEST(it.line() == "closed");
-    BOOST_TEST(writes() == 1U);
+    resume();
+    caller next(port_of(entry()), "newest");
+    next.line();
+    wait_until([&] { return next.query("WRITE 2 z") == written; });
+    BOOST_TEST(next.query("READ 1") == "ROW x | DONE sig | READY I -");
 }
 
 BOOST_FIXTURE_TEST_CASE(is_told_that_its_commit_is_in_doubt, frozen_owner)
@@ -110,10 +123,8 @@
 {
     freeze();
     caller next(port_of(entry()), "newest");
-    const auto first = next.line();
-    // An owner that is known to be silent is passed over.
-    if (first != "READY I -")
-        BOOST_TEST(first.rfind("ERROR BUSY", 0) == 0U);
+    BOOST_TEST(next.line().rfind("ERROR BUSY", 0) == 0U);
+    BOOST_TEST(next.line() == "closed");
 }
 
 BOOST_FIXTURE_TEST_CASE(is_only_disconnected_while_it_is_idle, frozen_owner)
