Bound what is under way to a host of relayed sessions

A long answer or statement of one session was handed to the link between two hosts whole. Heartbeat answers and short answers of all other sessions waited behind it, and on a slow link the owner was given up after 1 s: callers were answered without its outcome and disconnected.

Cause: all items for a host were in one queue, which each turn of the event loop emptied into the link. A host reports in its batches how many bytes it has taken (a new field, which earlier versions ignore; a host that does not report is sent all at once, as before). Parts are 16 KiB and batches 32 KiB, so that reports come back while others are under way. A host that is stopped waits for the queues as for unsent answers to its own callers.

--- a/apps/proxy/src/pooled/relay.cpp
+++ b/apps/proxy/src/pooled/relay.cpp
@@ -25,12 +25,27 @@
 constexpr std::chrono::milliseconds configuration_limit{300};
 constexpr std::chrono::milliseconds held_interval{10};
 
-std::vector<relay::item> take_unsent(app& it, const core::host_id& to)
+/// The batches that may be sent to the host now; one without items if only a
+/// report is due.
+std::vector<relay::batch> take_batches(app& it, const core::host_id& to)
 {
+    const auto version = it.configuration_version.load();
     std::lock_guard lock(it.relays.mutex);
     auto& p = it.relays.peers[to];
     p.flush_posted = false;
-    return std::exchange(p.unsent, {});
+    const auto budget = relay::send_budget(p.flow, p.unsent.bytes);
+    auto out = relay::make_batches(version, relay::take_next(p.unsent, budget));
+    if (out.empty() && relay::is_report_due(p.flow))
+        out.push_back({version, {}, std::nullopt});
+    for (auto& b : out)
+        b.taken = p.flow.reported = p.flow.taken;
+    return out;
+}
+
+void note_sent(app& it, const core::host_id& to, std::size_t size)
+{
+    std::lock_guard lock(it.relays.mutex);
+    it.relays.peers[to].flow.sent += size;
 }
 
 void lose_peer(app& it, const core::host_id& peer)
@@ -41,16 +56,37 @@
 
 void flush(app& it, const core::host_id& to)
 {
-    const auto version = it.configuration_version.load();
-    for (const auto& b : relay::make_batches(version, take_unsent(it, to)))
-        if (!send_to_host(it, to, peer::topic::sessions, relay::encode(b)))
+    for (const auto& b : take_batches(it, to))
+    {
+        auto bytes = relay::encode(b);
+        note_sent(it, to, bytes.size());
+        if (!send_to_host(it, to, peer::topic::sessions, std::move(bytes)))
             return lose_peer(it, to);
+    }
+}
+
+void post_flush(app& it, const core::host_id& to)
+{
+    boost::asio::post(it.relays.strand, [&it, to] { flush(it, to); });
 }
 
-bool is_for_owner(relay::item_kind it)
+/// Counts a message of the host, and what it reports as taken. Sends what may
+/// be sent or is to be reported then.
+void note_taken(app& it, const core::host_id& from, std::size_t size,
+                const std::optional<std::uint64_t>& reported)
 {
-    return it == relay::item_kind::start || it == relay::item_kind::line ||
-           it == relay::item_kind::disconnected;
+    {
+        std::lock_guard lock(it.relays.mutex);
+        auto& p = it.relays.peers[from];
+        p.flow.taken += size;
+        if (reported)
+            p.flow.acknowledged = reported;
+        const bool sends = reported && !empty(p.unsent);
+        if (!p.linked || !(sends || relay::is_report_due(p.flow)) ||
+            std::exchange(p.flush_posted, true))
+            return;
+    }
+    post_flush(it, from);
 }
 
 /// The items of the host that wait no longer. A later item never overtakes one
@@ -120,7 +156,7 @@
 void take_item(app& it, const core::host_id& from, relay::item what,
                std::uint64_t configuration)
 {
-    if (is_for_owner(what.kind))
+    if (relay::is_for_owner(what.kind))
     {
         bool first = false;
         if (!hold(it, from, what, configuration, first))
@@ -148,13 +184,15 @@
 void take_message(app& it, const core::host_id& from, std::string_view bytes)
 {
     auto got = relay::decode(bytes);
-    if (const auto* e = std::get_if<core::error>(&got))
-        return telemetry::log_event(telemetry::log_level::warning, e->message,
+    auto* all = std::get_if<relay::batch>(&got);
+    note_taken(it, from, bytes.size(), all ? all->taken : std::nullopt);
+    if (!all)
+        return telemetry::log_event(telemetry::log_level::warning,
+                                    std::get<core::error>(got).message,
                                     {{"peer", from}});
     note_heard(it, from);
-    auto& all = std::get<relay::batch>(got);
-    for (auto& what : all.items)
-        take_item(it, from, std::move(what), all.configuration);
+    for (auto& what : all->items)
+        take_item(it, from, std::move(what), all->configuration);
 }
 
 void take_link(app& it, const core::host_id& peer, bool open)
@@ -167,16 +205,18 @@
         p.heard_at.reset();
         p.silent = false;
         p.held.clear();
+        p.flow = {};
         // The host has started again.
         if (open)
             p.draining_since.reset();
         else
-            p.unsent.clear();
+            p.unsent = {};
         draining = it.relays.draining_since.has_value();
     }
     if (!open)
-        lose_peer(it, peer);
-    else if (draining)
+        return lose_peer(it, peer);
+    post_flush(it, peer);
+    if (draining)
         send_item(it, peer, relay::make_item(relay::item_kind::draining));
 }
 
@@ -253,12 +293,11 @@
     {
         std::lock_guard lock(it.relays.mutex);
         auto& p = it.relays.peers[to];
-        for (auto& part : relay::split(std::move(what)))
-            p.unsent.push_back(std::move(part));
+        relay::push(p.unsent, std::move(what));
         if (std::exchange(p.flush_posted, true))
             return;
     }
-    boost::asio::post(it.relays.strand, [&it, to] { flush(it, to); });
+    post_flush(it, to);
 }
 
 }  // namespace detail
@@ -287,6 +326,15 @@
                           relay::make_item(relay::item_kind::draining));
 }
 
+bool has_unsent_items(app& it)
+{
+    std::lock_guard lock(it.relays.mutex);
+    const auto& all = it.relays.peers;
+    return std::any_of(all.begin(), all.end(),
+                       [](const auto& n)
+                       { return n.second.linked && !empty(n.second.unsent); });
+}
+
 std::size_t count_relayed_callers(app& it)
 {
     std::lock_guard lock(it.relays.mutex);
--- a/apps/proxy/src/pooled/relay.hpp
+++ b/apps/proxy/src/pooled/relay.hpp
@@ -22,6 +22,9 @@
 /// Sessions of callers of this host that other hosts serve.
 std::size_t count_relayed_callers(app& it);
 
+/// Whether items wait for a host to take others.
+bool has_unsent_items(app& it);
+
 /// Entry host: hands a new session over to an owner of the group of its
 /// database, unless this host is to serve it.
 bool relay_session(app& it, pooler::session_number session,
@@ -41,7 +44,8 @@
 {
 
 /// Queues the item for the host. What accumulates while the event loop handles
-/// other events is sent as one message.
+/// other events, or until the host has taken earlier items, is sent as one
+/// message.
 void send_item(app& it, const core::host_id& to, relay::item what);
 
 /// Called without locks.
--- a/apps/proxy/src/pooled/relay_table.hpp
+++ b/apps/proxy/src/pooled/relay_table.hpp
@@ -16,7 +16,8 @@
 #include "godwitbarrow/owners/owners.hpp"
 #include "godwitbarrow/pooler/events.hpp"
 #include "godwitbarrow/pooler/lost_owner.hpp"
-#include "godwitbarrow/relay/messages.hpp"
+#include "godwitbarrow/relay/flow_control.hpp"
+#include "godwitbarrow/relay/send_queue.hpp"
 #include "request_log.hpp"
 
 /// Sessions whose caller is connected to another host than the one that serves
@@ -79,7 +80,8 @@
     std::optional<core::time_point> heard_at;
     /// It has not answered a heartbeat in time and takes no new sessions.
     bool silent = false;
-    std::vector<relay::item> unsent;
+    relay::send_queue unsent;
+    relay::link_flow flow;
     bool flush_posted = false;
     /// Sessions of this host that it serves.
     std::set<pooler::session_number> outbound;
--- a/apps/proxy/src/pooled/run.cpp
+++ b/apps/proxy/src/pooled/run.cpp
@@ -73,7 +73,7 @@
         open = pooler::open_sessions(it.decisions.state);
     }
     open += count_relayed_callers(it);
-    const bool sending = has_unsent_answers(it);
+    const bool sending = has_unsent_answers(it) || has_unsent_items(it);
     const auto waited = core::runtime_clock::now() - began;
     const bool finished = open == 0 && waited >= balancer_delay;
     const bool late = waited >= it.settings.grace - exit_margin;
--- a/libs/relay/include/godwitbarrow/relay/messages.hpp
+++ b/libs/relay/include/godwitbarrow/relay/messages.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,9 @@
     bool idle = false;
 };
 
+/// Whether an entry host sends the item to an owner.
+bool is_for_owner(item_kind it);
+
 /// An item without bytes.
 item make_item(item_kind kind, std::uint64_t session = 0);
 
@@ -56,12 +60,19 @@
     /// Version of the configuration that the sender has applied.
     std::uint64_t configuration = 0;
     std::vector<item> items;
+    /// Encoded bytes of batches that the sender has taken from the receiver
+    /// since their link is open. Hosts of earlier versions do not report it.
+    std::optional<std::uint64_t> taken = std::nullopt;
 };
 
 /// Bytes of one item; longer texts are split.
-constexpr std::size_t max_item_bytes = std::size_t{64} * 1024;
-/// Approximate size of an encoded batch, well below the limit of a frame.
-constexpr std::size_t max_batch_bytes = std::size_t{256} * 1024;
+constexpr std::size_t max_item_bytes = std::size_t{16} * 1024;
+/// Approximate size of an encoded batch. A host reports what it has taken after
+/// whole batches, so several of them are on their way to it at a time.
+constexpr std::size_t max_batch_bytes = std::size_t{32} * 1024;
+
+/// Of an encoded item.
+std::size_t approximate_size(const item& it);
 
 /// Splits an item whose bytes are too long for one.
 std::vector<item> split(item it);
--- a/libs/relay/src/messages.cpp
+++ b/libs/relay/src/messages.cpp
@@ -53,6 +53,17 @@
 }  // namespace
 }  // namespace detail
 
+bool is_for_owner(item_kind it)
+{
+    return it == item_kind::start || it == item_kind::line ||
+           it == item_kind::disconnected;
+}
+
+std::size_t approximate_size(const item& it)
+{
+    return it.bytes.size() + detail::item_overhead;
+}
+
 item make_item(item_kind kind, std::uint64_t session)
 {
     item out;
@@ -83,10 +94,10 @@
     std::size_t size = 0;
     for (auto& it : items)
     {
-        const auto added = it.bytes.size() + detail::item_overhead;
+        const auto added = approximate_size(it);
         if (out.empty() || size + added > max_batch_bytes)
         {
-            out.push_back({configuration, {}});
+            out.push_back({configuration, {}, std::nullopt});
             size = 0;
         }
         size += added;
@@ -103,7 +114,11 @@
     for (const auto& n : it.items)
         items.push_back(detail::put(to, n));
     const auto all = to.CreateVector(items);
-    wire::FinishbatchBuffer(to, wire::Createbatch(to, it.configuration, all));
+    flatbuffers::Optional<std::uint64_t> taken;
+    if (it.taken)
+        taken = *it.taken;
+    wire::FinishbatchBuffer(
+        to, wire::Createbatch(to, it.configuration, all, taken));
     return {reinterpret_cast<const char*>(to.GetBufferPointer()), to.GetSize()};
 }
 
@@ -116,6 +131,8 @@
     const auto* from = wire::Getbatch(data);
     batch out;
     out.configuration = from->configuration();
+    if (const auto taken = from->taken())
+        out.taken = *taken;
     out.items.reserve(from->items()->size());
     for (const auto* it : *from->items())
     {
--- a/libs/relay/test/messages_test.cpp
+++ b/libs/relay/test/messages_test.cpp
@@ -11,6 +11,7 @@
 {
     relay::batch made;
     made.configuration = 17;
+    made.taken = 0;
     made.items.push_back(
         {item_kind::line, 4, std::string("READ 1\0x", 8), true, false});
     made.items.push_back({item_kind::answer, 5, "READY I -\r\n", false, true});
@@ -19,6 +20,7 @@
     BOOST_REQUIRE(ok(got));
     const auto& it = std::get<relay::batch>(got);
     BOOST_TEST(it.configuration == 17U);
+    BOOST_TEST((it.taken == std::optional<std::uint64_t>(0)));
     BOOST_REQUIRE(it.items.size() == 3U);
     BOOST_TEST((it.items[0].kind == item_kind::line));
     BOOST_TEST(it.items[0].session == 4U);
@@ -28,6 +30,16 @@
     BOOST_TEST((it.items[2].kind == item_kind::draining));
 }
 
+// Guards against a host of an earlier version that is taken for one that
+// reports what it has taken: nothing would be sent to it any more.
+BOOST_AUTO_TEST_CASE(may_lack_a_report)
+{
+    const auto got = relay::decode(relay::encode({}));
+    BOOST_REQUIRE(ok(got));
+    BOOST_TEST(!std::get<relay::batch>(got).taken);
+    BOOST_TEST(std::get<relay::batch>(got).items.empty());
+}
+
 // Guards against a damaged message that ends the process.
 BOOST_AUTO_TEST_CASE(are_refused_if_they_are_damaged)
 {
