--- a/apps/proxy/src/pooled/relay.hpp
+++ b/apps/proxy/src/pooled/relay.hpp
@@ -25,6 +25,8 @@
 /// Ends these sessions; outstanding statements are answered with what is known
 /// of them.
 void end_relayed_callers(app& it);
+/// Whether items wait for a host to take others.
+bool has_unsent_items(app& it);
 
 /// Entry host: hands a new session over to an owner of the group of its
 /// database, unless this host is to serve it.
@@ -45,7 +47,8 @@
 {
 
 /// Queues the item for the host. What accumulates while the event loop handles
-/// other events is sent as one message.
+/// other events, or until the host has taken earlier items, is sent as one
+/// message.
 void send_item(app& it, const core::host_id& to, relay::item what);
 
 /// Called without locks.
