--- a/apps/proxy/src/pooled/relay.hpp
+++ b/apps/proxy/src/pooled/relay.hpp
@@ -25,6 +25,7 @@
 /// Ends these sessions; outstanding statements are answered with what is known
 /// of them.
 void end_relayed_callers(app& it);
+
 /// Whether items wait for a host to take others.
 bool has_unsent_items(app& it);
 
