--- a/libs/peer/test/link_test.cpp
+++ b/libs/peer/test/link_test.cpp
@@ -272,6 +272,133 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(the_other_host_reads_nothing)
+
+/// A link to a connection that reads only when it is told to. Handlers run on
+/// this thread, so that the clock moves between two steps.
+struct unread_link
+{
+    unread_link()
+    {
+        core::runtime_clock::pause();
+        // Less than the system may choose, so that it takes few messages.
+        acceptor.set_option(tcp::acceptor::receive_buffer_size(16 * 1024));
+        connect(
+            io.get_executor(), {"127.0.0.1", acceptor.local_endpoint().port()},
+            [this](const core::result<link_ptr>& made)
+            { it = std::get<link_ptr>(made); },
+            ignore, [](const link_ptr&, const core::error&) {});
+        while (!it)
+            io.run_one();
+        acceptor.accept(other);
+        other.non_blocking(true);
+    }
+    ~unread_link()
+    {
+        core::runtime_clock::resume();
+    }
+
+    /// Runs all that does not wait for the other host.
+    void settle()
+    {
+        io.restart();
+        while (io.poll() > 0)
+            ;
+    }
+
+    /// More than the system takes for a connection, less than the write queue.
+    void fill()
+    {
+        for (int n = 0; n < 14; ++n)
+            send(it, big_message());
+        settle();
+    }
+
+    void read_all()
+    {
+        std::vector<char> buf(1'000'000);
+        while (backlog().bytes > 0)
+        {
+            boost::system::error_code ec;
+            other.read_some(asio::buffer(buf), ec);
+            settle();
+        }
+    }
+
+    send_backlog backlog() const
+    {
+        return backlog_of(it, core::runtime_clock::now());
+    }
+
+    asio::io_context io;
+    tcp::acceptor acceptor{io, {asio::ip::make_address("127.0.0.1"), 0}};
+    tcp::socket other{io};
+    link_ptr it;
+};
+
+// Guards against a wait that is reported on a link that nothing waits on.
+BOOST_FIXTURE_TEST_CASE(a_new_link_has_no_backlog, unread_link)
+{
+    core::runtime_clock::advance(5s);
+    BOOST_TEST(backlog().bytes == 0U);
+    BOOST_TEST((backlog().age == 0s));
+}
+
+BOOST_AUTO_TEST_SUITE(and_messages_wait)
+
+BOOST_FIXTURE_TEST_CASE(their_bytes_are_counted, unread_link)
+{
+    fill();
+    const auto before = backlog().bytes;
+    BOOST_TEST(before > 0U);
+    send(it, big_message());
+    BOOST_TEST(backlog().bytes - before > 900'000U);
+}
+
+// Guards against the age of the newest message: a link on which messages are
+// sent all the time would never appear to be slow.
+BOOST_FIXTURE_TEST_CASE(their_age_is_that_of_the_oldest, unread_link)
+{
+    fill();
+    BOOST_TEST((backlog().age == 0s));
+    core::runtime_clock::advance(300ms);
+    BOOST_TEST((backlog().age == 300ms));
+    send(it, probe{});
+    settle();
+    core::runtime_clock::advance(200ms);
+    BOOST_TEST((backlog().age == 500ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(until_it_reads_again)
+
+// Guards against bytes and ages that stay after the messages were written.
+BOOST_FIXTURE_TEST_CASE(then_the_link_has_no_backlog, unread_link)
+{
+    fill();
+    core::runtime_clock::advance(300ms);
+    send(it, probe{});
+    read_all();
+    core::runtime_clock::advance(5s);
+    BOOST_TEST(backlog().bytes == 0U);
+    BOOST_TEST((backlog().age == 0s));
+}
+
+// Guards against an age that is counted from messages written long ago.
+BOOST_FIXTURE_TEST_CASE(later_messages_have_an_age_of_their_own, unread_link)
+{
+    fill();
+    core::runtime_clock::advance(300ms);
+    read_all();
+    fill();
+    BOOST_TEST(backlog().bytes > 0U);
+    core::runtime_clock::advance(100ms);
+    BOOST_TEST((backlog().age == 100ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(the_other_host_is_down)
 
 // Guards against a connect that is never answered.
--- a/libs/peer/test/messages_test.cpp
+++ b/libs/peer/test/messages_test.cpp
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <random>
 
 #include "godwitbarrow/peer/generated/peer_generated.h"
@@ -359,3 +360,28 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(a_topic_has_a_name)
+
+// Guards against metrics and log lines that show two topics as one, or a new
+// one as "unknown".
+BOOST_AUTO_TEST_CASE(that_no_other_topic_has)
+{
+    const std::map<topic, std::string_view> names{
+        {topic::hosts, "hosts"},
+        {topic::rows, "rows"},
+        {topic::configuration, "configuration"},
+        {topic::sessions, "sessions"},
+        {topic::quotas, "quotas"},
+        {topic::transfers, "transfers"}};
+    for (const auto& [it, name] : names)
+        BOOST_TEST(to_string(it) == name);
+}
+
+// Guards against undefined behaviour on a topic of a later version.
+BOOST_AUTO_TEST_CASE(that_is_unknown_for_a_topic_of_a_later_version)
+{
+    BOOST_TEST(to_string(static_cast<topic>(200)) == "unknown");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/telemetry/test/metrics_test.cpp
+++ b/libs/telemetry/test/metrics_test.cpp
@@ -117,4 +117,60 @@
                      {{"rank", "urgent"}, {"result", "completed"}}) == 600);
 }
 
+BOOST_AUTO_TEST_SUITE(that_it_shares_with_other_hosts)
+
+// Guards against a load that cannot be told apart: statements, rows and
+// contents share the links.
+BOOST_AUTO_TEST_CASE(bytes_add_up_by_topic)
+{
+    const auto it = make_metrics();
+    count_host_bytes(*it, "rows", 1000);
+    count_host_bytes(*it, "rows", 500);
+    count_host_bytes(*it, "sessions", 20);
+    BOOST_TEST(value(*it, "host_sent_bytes_total", {{"topic", "rows"}}) ==
+               1500);
+    BOOST_TEST(value(*it, "host_sent_bytes_total", {{"topic", "sessions"}}) ==
+               20);
+}
+
+// Guards against a backlog that is still shown once it is sent.
+BOOST_AUTO_TEST_CASE(the_backlog_is_the_last_that_was_seen)
+{
+    const auto it = make_metrics();
+    BOOST_TEST(value(*it, "host_backlog_bytes") == 0);
+    set_host_backlog(*it, 4096, 1500ms);
+    BOOST_TEST(value(*it, "host_backlog_bytes") == 4096);
+    BOOST_TEST(value(*it, "host_backlog_seconds") == 1.5);
+    set_host_backlog(*it, 0, 0ms);
+    BOOST_TEST(value(*it, "host_backlog_bytes") == 0);
+    BOOST_TEST(value(*it, "host_backlog_seconds") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(lost_sessions_are_counted_by_outcome)
+{
+    const auto it = make_metrics();
+    count_lost_session(*it, "in_doubt");
+    count_lost_session(*it, "in_doubt");
+    count_lost_session(*it, "none");
+    BOOST_TEST(value(*it, "lost_sessions_total", {{"outcome", "in_doubt"}}) ==
+               2);
+    BOOST_TEST(value(*it, "lost_sessions_total", {{"outcome", "none"}}) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(while_its_event_loop_is_late)
+
+// Guards against delays in another unit: the buckets are in seconds.
+BOOST_AUTO_TEST_CASE(each_delay_is_in_the_bucket_of_its_length)
+{
+    const auto it = make_metrics();
+    observe_loop_delay(*it, 3ms);
+    observe_loop_delay(*it, 700ms);
+    BOOST_TEST(value(*it, "loop_delay_seconds_count") == 2);
+    BOOST_TEST(value(*it, "loop_delay_seconds_bucket", {{"le", "0.005"}}) == 1);
+    BOOST_TEST(value(*it, "loop_delay_seconds_bucket", {{"le", "0.5"}}) == 1);
+    BOOST_TEST(value(*it, "loop_delay_seconds_bucket", {{"le", "1"}}) == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE_END()
