Show why an owner was given up and what was sent beside it

Logs and metrics did not separate a full link from a slow or dead owner: bytes that the system has taken for a link are in no figure, nothing told how long an owner takes to answer a heartbeat or whether it was heard again, and a lost link was logged with a silence of 0 ms. The sender of large contents showed neither its queue nor the end of a transfer.

"relayed sessions lost" has the heartbeats that are not answered and the time of the last answered one. No timer is added.

--- a/apps/proxy/src/pooled/content_exchange.cpp
+++ b/apps/proxy/src/pooled/content_exchange.cpp
@@ -35,8 +35,34 @@
 
 void watch_silence(app& it);
 
+/// A receiver that ends a transfer before all was sent has found another
+/// source, or the content was replaced.
+std::string_view result_of(const transfer::served_host& finished)
+{
+    return finished.sent_bytes == finished.what->bytes.size() ? "sent"
+                                                              : "cancelled";
+}
+
+void log_ended(app& it, const transfer::served_host& of,
+               std::string_view result)
+{
+    telemetry::count_content(*it.metrics, result);
+    telemetry::log_event(telemetry::log_level::info, "content sent",
+                         {{"name", of.name},
+                          {"peer", of.to},
+                          {"version", of.what->at.version},
+                          {"bytes", of.sent_bytes},
+                          {"took", core::runtime_clock::now() - of.began},
+                          {"served_hosts", it.contents.sender.served.size()},
+                          {"waiting_hosts", it.contents.sender.waiting.size()},
+                          {"result", result}});
+}
+
 void send(app& it, std::vector<transfer::outgoing> all)
 {
+    const auto& sender = it.contents.sender;
+    telemetry::set_content_load(*it.metrics, sender.served.size(),
+                                sender.waiting.size());
     for (auto& n : all)
         send_to_host(it, n.to, peer::topic::transfers,
                      transfer::encode(n.what));
@@ -48,6 +74,8 @@
     it.contents.watching = false;
     const auto now = core::runtime_clock::now();
     auto& all = it.contents;
+    for (const auto& n : transfer::find_expired(all.sender, now))
+        log_ended(it, n, "silent");
     send(it, transfer::expire(all.sender, source_of(it), now));
     send(it, transfer::expire(all.receiver, now));
 }
@@ -87,6 +115,9 @@
 
 void take(app& it, const core::host_id& from, const transfer::finished& what)
 {
+    if (const auto* n =
+            transfer::find_served(it.contents.sender, from, what.name))
+        log_ended(it, *n, result_of(*n));
     send(it,
          transfer::take_finished(it.contents.sender, from, what, source_of(it),
                                  core::runtime_clock::now()));
@@ -125,6 +156,9 @@
 {
     const auto now = core::runtime_clock::now();
     auto& all = it.contents;
+    for (const auto& n : all.sender.served)
+        if (n.to == peer)
+            log_ended(it, n, "link lost");
     send(it, transfer::lose_receiver(all.sender, peer, source_of(it), now));
     send(it, transfer::lose_sender(all.receiver, peer, now));
 }
--- a/apps/proxy/src/pooled/mesh.cpp
+++ b/apps/proxy/src/pooled/mesh.cpp
@@ -329,6 +329,7 @@
     if (n == it.mesh.peers.end() || !n->second.link)
         return false;
     n->second.sent[about] += bytes.size();
+    it.mesh.sent[about] += bytes.size();
     telemetry::count_host_bytes(*it.metrics, peer::to_string(about),
                                 bytes.size());
     // Sent under the lock, so that messages keep the order of their senders.
@@ -347,6 +348,12 @@
     return out;
 }
 
+std::map<peer::topic, std::uint64_t> count_sent_bytes(const app& it)
+{
+    std::lock_guard lock(it.mesh.mutex);
+    return it.mesh.sent;
+}
+
 peer::send_backlog backlog_to(const app& it, const core::host_id& to)
 {
     std::lock_guard lock(it.mesh.mutex);
--- a/apps/proxy/src/pooled/mesh.hpp
+++ b/apps/proxy/src/pooled/mesh.hpp
@@ -58,6 +58,9 @@
 /// Of each open link.
 std::vector<link_load> list_link_loads(const app& it);
 
+/// Bytes handed to the links to all hosts since the start.
+std::map<peer::topic, std::uint64_t> count_sent_bytes(const app& it);
+
 /// What waits to be sent to the host; nothing without a link.
 peer::send_backlog backlog_to(const app& it, const core::host_id& to);
 
--- a/apps/proxy/src/pooled/mesh_table.hpp
+++ b/apps/proxy/src/pooled/mesh_table.hpp
@@ -38,6 +38,8 @@
     bool listed = false;
     std::map<core::host_id, mesh_peer> peers;
     std::map<peer::topic, std::set<core::host_id>> wanted;
+    /// Bytes handed to the links since the start.
+    std::map<peer::topic, std::uint64_t> sent;
     /// Who is behind each link that has said so.
     std::map<peer::link_ptr, core::host_id> names;
     /// Distinguishes the starts of this process.
--- a/apps/proxy/src/pooled/relay.cpp
+++ b/apps/proxy/src/pooled/relay.cpp
@@ -98,12 +98,46 @@
     return true;
 }
 
-void note_heard(app& it, const core::host_id& from)
+/// Returns for how long the host was silent if it was taken for lost.
+std::optional<core::duration> note_heard(app& it, const core::host_id& from)
 {
     std::lock_guard lock(it.relays.mutex);
     auto& p = it.relays.peers[from];
-    p.heard_at = core::runtime_clock::now();
-    p.silent = false;
+    const auto now = core::runtime_clock::now();
+    const auto before = std::exchange(p.heard_at, now);
+    if (!std::exchange(p.silent, false))
+        return std::nullopt;
+    return now - before.value_or(now);
+}
+
+void log_heard_again(const core::host_id& from, core::duration silence)
+{
+    telemetry::log_event(telemetry::log_level::info, "owner heard again",
+                         {{"owner", from}, {"silence", silence}});
+}
+
+void send_heartbeat(app& it, const core::host_id& to)
+{
+    {
+        std::lock_guard lock(it.relays.mutex);
+        it.relays.peers[to].heartbeats.push_back(core::runtime_clock::now());
+    }
+    send_item(it, to, relay::make_item(relay::item_kind::heartbeat));
+}
+
+void note_heartbeat_answer(app& it, const core::host_id& from)
+{
+    core::duration took{0};
+    {
+        std::lock_guard lock(it.relays.mutex);
+        auto& p = it.relays.peers[from];
+        if (p.heartbeats.empty())
+            return;
+        took = core::runtime_clock::now() - p.heartbeats.front();
+        p.heartbeats.pop_front();
+        p.heartbeat_time = took;
+    }
+    telemetry::observe_heartbeat(*it.metrics, took);
 }
 
 void note_draining(app& it, const core::host_id& from)
@@ -138,6 +172,8 @@
         case relay::item_kind::heartbeat:
             return send_item(
                 it, from, relay::make_item(relay::item_kind::heartbeat_answer));
+        case relay::item_kind::heartbeat_answer:
+            return note_heartbeat_answer(it, from);
         case relay::item_kind::draining:
             return note_draining(it, from);
         default:
@@ -151,7 +187,8 @@
     if (const auto* e = std::get_if<core::error>(&got))
         return telemetry::log_event(telemetry::log_level::warning, e->message,
                                     {{"peer", from}});
-    note_heard(it, from);
+    if (const auto silence = note_heard(it, from))
+        log_heard_again(from, *silence);
     auto& all = std::get<relay::batch>(got);
     for (auto& what : all.items)
         take_item(it, from, std::move(what), all.configuration);
@@ -164,7 +201,14 @@
         std::lock_guard lock(it.relays.mutex);
         auto& p = it.relays.peers[peer];
         p.linked = open;
-        p.heard_at.reset();
+        // Of a link that is closed they are still shown with the sessions that
+        // are lost.
+        if (open)
+        {
+            p.heard_at.reset();
+            p.heartbeats.clear();
+            p.heartbeat_time.reset();
+        }
         p.silent = false;
         p.held.clear();
         // The host has started again.
@@ -226,7 +270,7 @@
     for (const auto& host : found.lost)
         lose_owner(it, host, "the owner does not answer");
     for (const auto& host : found.to_ask)
-        send_item(it, host, relay::make_item(relay::item_kind::heartbeat));
+        send_heartbeat(it, host);
     after(it, watch_interval, [&it] { watch_silence(it); });
 }
 
--- a/apps/proxy/src/pooled/relay_entry.cpp
+++ b/apps/proxy/src/pooled/relay_entry.cpp
@@ -184,6 +184,58 @@
     close_session(it, session);
 }
 
+/// An owner that is given up.
+struct lost_owner
+{
+    std::set<pooler::session_number> sessions;
+    /// Sessions with a statement that is not answered.
+    std::size_t outstanding = 0;
+    core::duration silence{0};
+    std::size_t heartbeats = 0;
+    /// Since the oldest unanswered heartbeat was sent.
+    core::duration heartbeat_age{0};
+    std::optional<core::duration> heartbeat_time;
+};
+
+lost_owner look_at_owner(app& it, const core::host_id& owner)
+{
+    lost_owner out;
+    const auto now = core::runtime_clock::now();
+    std::lock_guard lock(it.relays.mutex);
+    const auto& p = it.relays.peers[owner];
+    out.sessions = p.outbound;
+    for (const auto session : p.outbound)
+        out.outstanding += !it.relays.outbound.at(session).outstanding.empty();
+    if (p.heard_at)
+        out.silence = now - *p.heard_at;
+    out.heartbeats = p.heartbeats.size();
+    if (!p.heartbeats.empty())
+        out.heartbeat_age = now - p.heartbeats.front();
+    out.heartbeat_time = p.heartbeat_time;
+    return out;
+}
+
+void log_lost_owner(app& it, const core::host_id& owner, const lost_owner& of,
+                    const char* reason)
+{
+    const auto waiting = backlog_to(it, owner);
+    const auto took =
+        of.heartbeat_time
+            ? telemetry::field("last_heartbeat_took", *of.heartbeat_time)
+            : telemetry::field("last_heartbeat_took", "unknown");
+    telemetry::log_event(telemetry::log_level::warning, "relayed sessions lost",
+                         {{"owner", owner},
+                          {"sessions", of.sessions.size()},
+                          {"outstanding", of.outstanding},
+                          {"silence", of.silence},
+                          {"heartbeats_unanswered", of.heartbeats},
+                          {"heartbeat_age", of.heartbeat_age},
+                          took,
+                          {"waiting_bytes", waiting.bytes},
+                          {"waiting_age", waiting.age},
+                          {"reason", reason}});
+}
+
 std::vector<pooler::session_number> find_idle(app& it)
 {
     std::vector<pooler::session_number> out;
@@ -232,30 +284,11 @@
 
 void lose_owner(app& it, const core::host_id& owner, const char* reason)
 {
-    std::set<pooler::session_number> lost;
-    std::size_t outstanding = 0;
-    core::duration silence{0};
-    {
-        std::lock_guard lock(it.relays.mutex);
-        const auto& p = it.relays.peers[owner];
-        lost = p.outbound;
-        for (const auto session : lost)
-            outstanding += !it.relays.outbound.at(session).outstanding.empty();
-        if (p.heard_at)
-            silence = core::runtime_clock::now() - *p.heard_at;
-    }
-    if (lost.empty())
+    const auto of = look_at_owner(it, owner);
+    if (of.sessions.empty())
         return;
-    const auto waiting = backlog_to(it, owner);
-    telemetry::log_event(telemetry::log_level::warning, "relayed sessions lost",
-                         {{"owner", owner},
-                          {"sessions", lost.size()},
-                          {"outstanding", outstanding},
-                          {"silence", silence},
-                          {"waiting_bytes", waiting.bytes},
-                          {"waiting_age", waiting.age},
-                          {"reason", reason}});
-    for (const auto session : lost)
+    log_lost_owner(it, owner, of, reason);
+    for (const auto session : of.sessions)
         end_without_owner(it, session, reason);
 }
 
--- a/apps/proxy/src/pooled/relay_table.hpp
+++ b/apps/proxy/src/pooled/relay_table.hpp
@@ -77,6 +77,11 @@
     /// Since when it has been shutting down.
     std::optional<core::time_point> draining_since;
     std::optional<core::time_point> heard_at;
+    /// When the heartbeats that it has not answered yet were sent. It answers
+    /// them in order.
+    std::deque<core::time_point> heartbeats;
+    /// From the last answered heartbeat to its answer.
+    std::optional<core::duration> heartbeat_time;
     /// It has not answered a heartbeat in time and takes no new sessions.
     bool silent = false;
     std::vector<relay::item> unsent;
--- a/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
+++ b/libs/telemetry/include/godwitbarrow/telemetry/metrics.hpp
@@ -88,6 +88,16 @@
 void set_host_backlog(metrics& to, std::size_t bytes,
                       std::chrono::nanoseconds oldest);
 
+/// From a heartbeat to an owner of relayed sessions to its answer.
+void observe_heartbeat(metrics& to, std::chrono::nanoseconds took);
+
+/// Hosts that are sent a large content, and hosts that wait for one.
+void set_content_load(metrics& to, std::size_t served, std::size_t waiting);
+
+/// Counts a transfer of a large content to another host that has ended, by its
+/// result, for example "sent" or "silent".
+void count_content(metrics& to, std::string_view result);
+
 /// How late the event loop ran a timer.
 void observe_loop_delay(metrics& to, std::chrono::nanoseconds late);
 
--- a/libs/telemetry/src/metrics.cpp
+++ b/libs/telemetry/src/metrics.cpp
@@ -52,6 +52,10 @@
     detail::counter_family* host_bytes = nullptr;
     prometheus::Gauge* host_backlog_bytes = nullptr;
     prometheus::Gauge* host_backlog_seconds = nullptr;
+    prometheus::Histogram* heartbeat = nullptr;
+    prometheus::Gauge* contents_served = nullptr;
+    prometheus::Gauge* contents_waiting = nullptr;
+    detail::counter_family* contents = nullptr;
     prometheus::Histogram* loop_delay = nullptr;
     detail::counter_family* lost_sessions = nullptr;
     detail::gauge_family* queue_length = nullptr;
@@ -186,6 +190,11 @@
                             "godwitbarrow_loop_delay_seconds",
                             "How late the event loop ran a timer")
                          .Add({}, bounds_with({}));
+    it.heartbeat =
+        &family(it.registry, prometheus::BuildHistogram,
+                "godwitbarrow_owner_heartbeat_seconds",
+                "From a heartbeat to an owner of sessions to its answer")
+             .Add({}, bounds_with({}));
     it.lost_sessions =
         &family(it.registry, prometheus::BuildCounter,
                 "godwitbarrow_lost_sessions_total",
@@ -193,6 +202,17 @@
                 "the outstanding statement");
 }
 
+void add_content_metrics(metrics& it)
+{
+    it.contents_served = add_gauge(it, "godwitbarrow_content_served_hosts",
+                                   "Hosts that are sent a large content");
+    it.contents_waiting = add_gauge(it, "godwitbarrow_content_waiting_hosts",
+                                    "Hosts that wait for a large content");
+    it.contents = &family(it.registry, prometheus::BuildCounter,
+                          "godwitbarrow_contents_total",
+                          "Ended transfers of large contents, by result");
+}
+
 prometheus::Labels queue_labels(const core::server_id& server, core::rank it)
 {
     auto out = of_rank(it);
@@ -244,6 +264,7 @@
     detail::add_state_metrics(*it);
     detail::add_labelled_metrics(*it);
     detail::add_host_metrics(*it);
+    detail::add_content_metrics(*it);
     return it;
 }
 
@@ -324,6 +345,22 @@
     to.host_backlog_seconds->Set(detail::seconds(oldest).count());
 }
 
+void observe_heartbeat(metrics& to, std::chrono::nanoseconds took)
+{
+    to.heartbeat->Observe(detail::seconds(took).count());
+}
+
+void set_content_load(metrics& to, std::size_t served, std::size_t waiting)
+{
+    to.contents_served->Set(static_cast<double>(served));
+    to.contents_waiting->Set(static_cast<double>(waiting));
+}
+
+void count_content(metrics& to, std::string_view result)
+{
+    to.contents->Add({{"result", detail::text(result)}}).Increment();
+}
+
 void observe_loop_delay(metrics& to, std::chrono::nanoseconds late)
 {
     to.loop_delay->Observe(detail::seconds(late).count());
--- a/libs/telemetry/test/metrics_test.cpp
+++ b/libs/telemetry/test/metrics_test.cpp
@@ -146,6 +146,31 @@
     BOOST_TEST(value(*it, "host_backlog_seconds") == 0);
 }
 
+// Guards against hosts that wait for a content without a trace.
+BOOST_AUTO_TEST_CASE(transfers_are_counted_while_they_run_and_at_their_end)
+{
+    const auto it = make_metrics();
+    set_content_load(*it, 2, 7);
+    BOOST_TEST(value(*it, "content_served_hosts") == 2);
+    BOOST_TEST(value(*it, "content_waiting_hosts") == 7);
+    set_content_load(*it, 0, 0);
+    count_content(*it, "sent");
+    count_content(*it, "silent");
+    BOOST_TEST(value(*it, "content_waiting_hosts") == 0);
+    BOOST_TEST(value(*it, "contents_total", {{"result", "sent"}}) == 1);
+    BOOST_TEST(value(*it, "contents_total", {{"result", "silent"}}) == 1);
+}
+
+// Guards against times in another unit: the buckets are in seconds.
+BOOST_AUTO_TEST_CASE(each_heartbeat_is_in_the_bucket_of_its_time)
+{
+    const auto it = make_metrics();
+    observe_heartbeat(*it, 1500ms);
+    const std::string name = "owner_heartbeat_seconds_bucket";
+    BOOST_TEST(value(*it, name, {{"le", "1"}}) == 0);
+    BOOST_TEST(value(*it, name, {{"le", "2"}}) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(lost_sessions_are_counted_by_outcome)
 {
     const auto it = make_metrics();
--- a/libs/transfer/include/godwitbarrow/transfer/sender.hpp
+++ b/libs/transfer/include/godwitbarrow/transfer/sender.hpp
@@ -44,6 +44,9 @@
     std::string name;
     content_ptr what;
     core::time_point asked;
+    core::time_point began;
+    /// How much of the content was sent at most.
+    std::size_t sent_bytes = 0;
 };
 
 struct waiting_host
@@ -82,6 +85,13 @@
 std::vector<outgoing> expire(sender& it, const content_source& source,
                              core::time_point now);
 
+/// The transfer to the host; null if there is none.
+const served_host* find_served(const sender& it, const core::host_id& to,
+                               const std::string& name);
+
+/// Transfers that `expire` ends at that time.
+std::vector<served_host> find_expired(const sender& it, core::time_point now);
+
 /// When `expire` is to be called; absent if nobody is served.
 std::optional<core::time_point> next_expiry(const sender& it);
 
--- a/libs/transfer/src/sender.cpp
+++ b/libs/transfer/src/sender.cpp
@@ -9,16 +9,22 @@
 namespace
 {
 
-auto find_served(sender& it, const core::host_id& to, const std::string& name)
+template <class Hosts>
+auto find_transfer(Hosts& all, const core::host_id& to, const std::string& name)
 {
-    return std::find_if(it.served.begin(), it.served.end(),
+    return std::find_if(all.begin(), all.end(),
                         [&](const auto& n)
                         { return n.to == to && n.name == name; });
 }
 
+bool is_expired(const sender& it, const served_host& of, core::time_point now)
+{
+    return now - of.asked >= it.limits.silence;
+}
+
 /// The chunk at the offset, or the first one if the receiver has begun with
 /// another revision.
-chunk make_chunk(const sender& it, const served_host& to, const request& asked)
+chunk make_chunk(const sender& it, served_host& to, const request& asked)
 {
     const auto& bytes = to.what->bytes;
     chunk out;
@@ -28,6 +34,8 @@
     if (asked.at == to.what->at && asked.offset < bytes.size())
         out.offset = asked.offset;
     out.bytes = bytes.substr(out.offset, it.limits.chunk_bytes);
+    const std::size_t end = out.offset + out.bytes.size();
+    to.sent_bytes = std::max(to.sent_bytes, end);
     return out;
 }
 
@@ -42,7 +50,8 @@
         auto what = source(next.what.name);
         if (!what)
             continue;
-        it.served.push_back({next.to, next.what.name, std::move(what), now});
+        it.served.push_back(
+            {next.to, next.what.name, std::move(what), now, now});
         out.push_back({next.to, make_chunk(it, it.served.back(), next.what)});
     }
 }
@@ -70,7 +79,7 @@
                                    core::time_point now)
 {
     std::vector<outgoing> out;
-    const auto served = detail::find_served(it, from, what.name);
+    const auto served = detail::find_transfer(it.served, from, what.name);
     if (served != it.served.end())
     {
         served->asked = now;
@@ -120,12 +129,28 @@
                              core::time_point now)
 {
     detail::remove_served(
-        it, [&](const auto& n) { return now - n.asked >= it.limits.silence; });
+        it, [&](const auto& n) { return detail::is_expired(it, n, now); });
     std::vector<outgoing> out;
     detail::serve_waiting(it, source, now, out);
     return out;
 }
 
+const served_host* find_served(const sender& it, const core::host_id& to,
+                               const std::string& name)
+{
+    const auto n = detail::find_transfer(it.served, to, name);
+    return n == it.served.end() ? nullptr : &*n;
+}
+
+std::vector<served_host> find_expired(const sender& it, core::time_point now)
+{
+    std::vector<served_host> out;
+    for (const auto& n : it.served)
+        if (detail::is_expired(it, n, now))
+            out.push_back(n);
+    return out;
+}
+
 std::optional<core::time_point> next_expiry(const sender& it)
 {
     std::optional<core::time_point> out;
--- a/test/pooled/lost_owner_test.cpp
+++ b/test/pooled/lost_owner_test.cpp
@@ -87,6 +87,17 @@
     BOOST_TEST(it.line() == "closed");
 }
 
+// Guards against a loss that operators cannot see in the metrics.
+BOOST_FIXTURE_TEST_CASE(is_counted_by_its_outcome, frozen_owner)
+{
+    query_frozen("WRITE 1 y");
+    BOOST_TEST(it.line() == "closed");
+    const auto text = telemetry::expose(*entry().app->metrics);
+    const std::string expected =
+        "godwitbarrow_lost_sessions_total{outcome=\"in_doubt\"} 1";
+    BOOST_TEST(text.find(expected) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a promise that nothing was kept although a later statement,
