--- a/test/pooled/deployment.hpp
+++ b/test/pooled/deployment.hpp
@@ -284,7 +284,7 @@
     }
 
     void configure(int version, int synchronous_replicas = 0,
-                   int max_connections = 16)
+                   int max_connections = 16, int more_routes = 0)
     {
         const auto route = [](const char* host, const char* type, int age)
         {
@@ -294,11 +294,15 @@
                    R"("service":"quotes","max_stale_ms":)" +
                    std::to_string(age) + "}";
         };
+        std::string more;
+        for (int n = 0; n < more_routes; ++n)
+            more += "," + route(("database-" + std::to_string(n)).c_str(),
+                                "primary", 0);
         store.put("op", "config",
                   R"({"version":)" + std::to_string(version) +
                       R"(,"routes":[)" + route("newest", "primary", 0) + "," +
                       route("bounded", "bounded", 1500) + "," +
-                      route("own", "session", 2500) +
+                      route("own", "session", 2500) + more +
                       R"(],"services":[{"name":"quotes","max_conns":)" +
                       std::to_string(max_connections) + R"(,"sync_replicas":)" +
                       std::to_string(synchronous_replicas) +
--- a/test/pooled/owner_fleet.hpp
+++ b/test/pooled/owner_fleet.hpp
@@ -21,10 +21,19 @@
     const core::group_id group{"quotes"};
     std::vector<running_host> hosts;
 
-    owner_fleet()
+    /// `prepare` runs before the hosts start.
+    explicit owner_fleet(
+        const std::vector<std::string>& names = {"host-2", "host-3", "host-4",
+                                                 "host-5"},
+        const std::function<void(store_standin&)>& prepare = [](auto&) {})
     {
-        at_standins([this] { configure(2, 0, 6); });
-        for (const auto* name : {"host-2", "host-3", "host-4", "host-5"})
+        at_standins(
+            [&]
+            {
+                prepare(store);
+                configure(2, 0, 6);
+            });
+        for (const auto& name : names)
             add_host(name);
         for (auto& it : hosts)
             wait_until([&] { return is_settled(*it.app); });
--- a/test/pooled/store_standin.cpp
+++ b/test/pooled/store_standin.cpp
@@ -106,6 +106,18 @@
     return std::string(from.at(key).as_string());
 }
 
+store_standin::change written_row(const store_standin& s,
+                                  const json::value& from)
+{
+    store_standin::change out{
+        text_of(from, "table"),
+        text_of(from, "key"),
+        {decode(text_of(from, "value")), s.version, false}};
+    if (s.rewrite)
+        out.row.value = s.rewrite(out.table, out.key, out.row.value);
+    return out;
+}
+
 standins::http_reply run_transaction(store_standin& s, const std::string& body)
 {
     const auto call = json::parse(body);
@@ -119,9 +131,7 @@
     }
     ++s.version;
     for (const auto& it : call.at("puts").as_array())
-        apply(s, {text_of(it, "table"),
-                  text_of(it, "key"),
-                  {decode(text_of(it, "value")), s.version, false}});
+        apply(s, written_row(s, it));
     wake(s);
     const json::object out{{"ver", s.version}, {"now_ms", store_time()}};
     return {200, json::serialize(out), false};
--- a/test/pooled/store_standin.hpp
+++ b/test/pooled/store_standin.hpp
@@ -70,6 +70,11 @@
     std::size_t page_limit = 500;
     /// Called after each such answer, if set.
     std::function<void()> page_listed;
+    /// Replaces the value of a row that a host writes, if set. The arguments
+    /// are the table, the key and the value.
+    std::function<std::string(const std::string&, const std::string&,
+                              const std::string&)>
+        rewrite;
     /// Orders a promotion; false if the member does not run.
     std::function<bool(const promotion_call&)> promoted;
     /// The highest fencing token seen for each group.
