--- a/libs/pooler/test/lost_owner_test.cpp
+++ b/libs/pooler/test/lost_owner_test.cpp
@@ -15,6 +15,7 @@
                               bool in_transaction = false)
 {
     std::vector<outstanding_statement> all;
+    all.reserve(kinds.size());
     for (const auto kind : kinds)
         all.push_back({{"5c0e"}, kind});
     return answer_without_owner(all, in_transaction, "owner lost");
