--- a/libs/transfer/test/sender_test.cpp
+++ b/libs/transfer/test/sender_test.cpp
@@ -147,7 +147,7 @@
     {
         ask(host);
         chunks += served().size();
-        BOOST_TEST(told_to_wait(host) == (it.waiting.size() > 0));
+        BOOST_TEST(told_to_wait(host) == !it.waiting.empty());
     }
     BOOST_TEST(chunks == 2U);
     BOOST_TEST(it.served.size() == 2U);
