Number the fetches of a receiver

A late chunk of an earlier request was taken for the reply to a newer one to the same host: its content was dated too young, and it began a second chain of requests (48 bytes under way where 32 are allowed).

Cause: replies did not say which request they answer. Requests carry the number of the fetch and replies repeat it. transfer_test failed before in never_makes_a_late_chunk_younger (2 of 2) and after_any_disruptions and passes.

--- a/libs/transfer/include/godwitbarrow/transfer/messages.hpp
+++ b/libs/transfer/include/godwitbarrow/transfer/messages.hpp
@@ -44,6 +44,9 @@
     /// Of the chunks that have arrived; not looked at if `offset` is 0.
     revision at;
     std::uint64_t offset = 0;
+    /// Number of the fetch at the receiver. Replies repeat it, so that a late
+    /// one is not taken for the reply to a newer request.
+    std::uint64_t fetch = 0;
 };
 
 struct chunk
@@ -54,12 +57,14 @@
     std::uint64_t size = 0;
     std::uint64_t offset = 0;
     std::string bytes;
+    std::uint64_t fetch = 0;
 };
 
 /// The request waits until other hosts are served.
 struct queued
 {
     std::string name;
+    std::uint64_t fetch = 0;
 };
 
 /// The receiver has everything or asks for no more, or the sender has nothing
--- a/libs/transfer/include/godwitbarrow/transfer/receiver.hpp
+++ b/libs/transfer/include/godwitbarrow/transfer/receiver.hpp
@@ -49,6 +49,7 @@
 
 struct fetch
 {
+    std::uint64_t number = 0;
     std::string name;
     core::host_id from;
     revision at;
@@ -68,6 +69,8 @@
     receiver_limits limits;
     std::map<std::string, wanted_content> wanted;
     std::optional<fetch> now;
+    /// Number of the last fetch.
+    std::uint64_t fetches = 0;
 };
 
 /// A content that has arrived whole.
--- a/libs/transfer/src/messages.cpp
+++ b/libs/transfer/src/messages.cpp
@@ -36,7 +36,7 @@
 {
     return {wire::body::body_request,
             wire::Createrequest(to, to.CreateString(it.name), it.at.era,
-                                it.at.version, it.offset)
+                                it.at.version, it.offset, it.fetch)
                 .Union()};
 }
 
@@ -47,14 +47,14 @@
     const auto bytes = to.CreateVector(begin, it.bytes.size());
     return {wire::body::body_chunk,
             wire::Createchunk(to, name, it.at.era, it.at.version, it.size,
-                              it.offset, bytes)
+                              it.offset, bytes, it.fetch)
                 .Union()};
 }
 
 chosen_body put(builder& to, const queued& it)
 {
     return {wire::body::body_queued,
-            wire::Createqueued(to, to.CreateString(it.name)).Union()};
+            wire::Createqueued(to, to.CreateString(it.name), it.fetch).Union()};
 }
 
 chosen_body put(builder& to, const finished& it)
@@ -70,8 +70,10 @@
 
 message get(const wire::request& from)
 {
-    return request{
-        from.name()->str(), {from.era(), from.version()}, from.offset()};
+    return request{from.name()->str(),
+                   {from.era(), from.version()},
+                   from.offset(),
+                   from.fetch()};
 }
 
 message get(const wire::chunk& from)
@@ -80,7 +82,8 @@
               {from.era(), from.version()},
               from.size(),
               from.offset(),
-              {}};
+              {},
+              from.fetch()};
     if (const auto* bytes = from.bytes())
         out.bytes.assign(reinterpret_cast<const char*>(bytes->data()),
                          bytes->size());
@@ -89,7 +92,7 @@
 
 message get(const wire::queued& from)
 {
-    return queued{from.name()->str()};
+    return queued{from.name()->str(), from.fetch()};
 }
 
 message get(const wire::finished& from)
--- a/libs/transfer/src/receiver.cpp
+++ b/libs/transfer/src/receiver.cpp
@@ -17,6 +17,13 @@
     return it.now && it.now->name == name;
 }
 
+/// Whether the message replies to the last request and not to an earlier one.
+bool is_reply(const receiver& it, const core::host_id& from,
+              std::uint64_t fetch)
+{
+    return it.now && it.now->from == from && it.now->number == fetch;
+}
+
 /// The nearest source. Hosts that know the same sources choose different ones.
 core::host_id choose_source(const receiver& it, const wanted_content& of)
 {
@@ -37,12 +44,13 @@
                  std::vector<outgoing>& out)
 {
     fetch f;
+    f.number = ++it.fetches;
     f.name = name;
     f.from = from;
     f.began = now;
     f.heard = now;
+    out.push_back({from, request{name, {}, 0, f.number}});
     it.now = std::move(f);
-    out.push_back({from, request{name, {}, 0}});
 }
 
 /// Starts the next fetch if there is none.
@@ -176,7 +184,7 @@
                            core::time_point now)
 {
     receiver_result out;
-    if (!detail::is_fetched(it, what.name) || it.now->from != from)
+    if (!detail::is_reply(it, from, what.fetch))
         return out;
     auto& f = *it.now;
     if (what.size > it.limits.content_bytes || !detail::fits(f, what))
@@ -187,7 +195,8 @@
     detail::add_chunk(f, std::move(what), now);
     if (f.bytes.size() < f.size)
     {
-        out.to_send.push_back({from, request{f.name, f.at, f.bytes.size()}});
+        out.to_send.push_back(
+            {from, request{f.name, f.at, f.bytes.size(), f.number}});
         return out;
     }
     // What other hosts have beyond this revision is fetched next.
@@ -204,7 +213,7 @@
 void take_queued(receiver& it, const core::host_id& from, const queued& what,
                  core::time_point now)
 {
-    if (!detail::is_fetched(it, what.name) || it.now->from != from)
+    if (!detail::is_reply(it, from, what.fetch))
         return;
     it.now->heard = now;
     it.now->queued = true;
--- a/libs/transfer/src/sender.cpp
+++ b/libs/transfer/src/sender.cpp
@@ -34,6 +34,7 @@
     if (asked.at == to.what->at && asked.offset < bytes.size())
         out.offset = asked.offset;
     out.bytes = bytes.substr(out.offset, it.limits.chunk_bytes);
+    out.fetch = asked.fetch;
     const std::size_t end = out.offset + out.bytes.size();
     to.sent_bytes = std::max(to.sent_bytes, end);
     return out;
@@ -56,8 +57,10 @@
         it.served.push_back(
             {next.to, next.what.name, std::move(what), now, now});
         // The same revision may be read anew, with other ages in it.
-        out.push_back({next.to, make_chunk(it, it.served.back(),
-                                           request{next.what.name, {}, 0})});
+        out.push_back(
+            {next.to,
+             make_chunk(it, it.served.back(),
+                        request{next.what.name, {}, 0, next.what.fetch})});
     }
 }
 
@@ -97,7 +100,7 @@
     it.waiting.push_back({from, what});
     detail::serve_waiting(it, source, now, out);
     if (!it.waiting.empty() && it.waiting.back().to == from)
-        out.push_back({from, queued{what.name}});
+        out.push_back({from, queued{what.name, what.fetch}});
     return out;
 }
 
