--- a/apps/proxy/src/pooled/configuration_exchange.cpp
+++ b/apps/proxy/src/pooled/configuration_exchange.cpp
@@ -65,7 +65,7 @@
     {
         if (told.version <= from.version)
             continue;
-        if (told.fetches)
+        if (told.supports_transfers)
             out.holders.push_back({host, told});
         else if (told.version == out.version)
             out.whole_sender = host;
@@ -120,7 +120,7 @@
         std::lock_guard lock(it.configuration.mutex);
         auto& told = it.configuration.told[from];
         told.version = std::max(told.version, what.version);
-        told.fetches = what.fetches;
+        told.supports_transfers = what.supports_transfers;
         told.rows.reset();
         if (what.rows_version > 0)
             told.rows = {what.rows_era, what.rows_version};
--- a/apps/proxy/src/pooled/configuration_table.hpp
+++ b/apps/proxy/src/pooled/configuration_table.hpp
@@ -20,7 +20,7 @@
     /// 0 if it has told none.
     std::uint64_t version = 0;
     /// It serves the configuration in chunks.
-    bool fetches = false;
+    bool supports_transfers = false;
     /// Of the operator's table; absent if the host has the text only.
     std::optional<transfer::revision> rows;
 };
--- a/apps/proxy/src/pooled/host_census.cpp
+++ b/apps/proxy/src/pooled/host_census.cpp
@@ -127,7 +127,7 @@
     common.leaving = it.hosts.reading.self.leaving;
     common.reads_store = role.reading && store_answers(it);
     common.wants_rows = role.wants_rows;
-    common.fetches = true;
+    common.supports_transfers = true;
     const auto nearby = hosts_nearby(it);
     const bool signs_far = it.hosts.heartbeats++ % far_signs_every == 0;
     for (const auto& [name, host] : it.hosts.linked)
@@ -209,7 +209,7 @@
     hosts::note_status(all.readers, from, beat.reads_store, now);
     auto& host = all.linked[from];
     host.follows = beat.follows;
-    host.fetches = beat.fetches;
+    host.supports_transfers = beat.supports_transfers;
     if (!std::exchange(host.wants_rows, beat.wants_rows) && beat.wants_rows)
         send_all_tables(it, from);
     note_positions(it, from, beat.tables);
--- a/apps/proxy/src/pooled/host_table.hpp
+++ b/apps/proxy/src/pooled/host_table.hpp
@@ -36,8 +36,8 @@
     /// It relies on heartbeats of this host.
     bool follows = false;
     bool wants_rows = false;
-    /// It fetches large updates; another host gets them unasked.
-    bool fetches = false;
+    /// It supports_transfers large updates; another host gets them unasked.
+    bool supports_transfers = false;
     hosts::update_parts parts;
     /// Tables of which it had more than this host at its last heartbeat.
     std::set<std::string> ahead;
--- a/apps/proxy/src/pooled/relay_entry.cpp
+++ b/apps/proxy/src/pooled/relay_entry.cpp
@@ -165,7 +165,7 @@
     std::lock_guard lock(it.relays.mutex);
     for (const auto& statement : of.statements)
     {
-        if (!take_room(it.relays.requests))
+        if (!may_log_request(it.relays.requests))
             continue;
         telemetry::log_event(telemetry::log_level::info,
                              "request not answered by its owner",
--- a/apps/proxy/src/pooled/reports.cpp
+++ b/apps/proxy/src/pooled/reports.cpp
@@ -26,7 +26,7 @@
                                     {{"group", what.group},
                                      {"server", what.server},
                                      {"detail", what.detail}});
-    if (!take_room(it.requests))
+    if (!may_log_request(it.requests))
         return;
     telemetry::log_event(
         level, "request not served",
--- a/apps/proxy/src/pooled/request_log.cpp
+++ b/apps/proxy/src/pooled/request_log.cpp
@@ -15,7 +15,7 @@
 }  // namespace
 }  // namespace detail
 
-bool take_room(request_log& it)
+bool may_log_request(request_log& it)
 {
     const auto now = core::runtime_clock::now();
     if (now - it.second >= std::chrono::seconds(1))
--- a/apps/proxy/src/pooled/request_log.hpp
+++ b/apps/proxy/src/pooled/request_log.hpp
@@ -7,7 +7,7 @@
 namespace godwitbarrow::proxy::pooled
 {
 
-/// Bounds the log lines about requests. The users of one take turns.
+/// Bounds the log lines about requests. Not thread-safe.
 struct request_log
 {
     core::time_point second;
@@ -15,7 +15,8 @@
     std::uint64_t left_out = 0;
 };
 
-/// Whether there is room for a line. Tells once a second what was left out.
-bool take_room(request_log& it);
+/// Whether one more line may be written. Logs once a second how many were left
+/// out.
+bool may_log_request(request_log& it);
 
 }  // namespace godwitbarrow::proxy::pooled
--- a/apps/proxy/src/pooled/row_share.cpp
+++ b/apps/proxy/src/pooled/row_share.cpp
@@ -41,7 +41,7 @@
                  const hosts::row_update& update)
 {
     const auto bytes = size_of(update);
-    if (bytes > pushed_bytes && it.hosts.linked[to].fetches)
+    if (bytes > pushed_bytes && it.hosts.linked[to].supports_transfers)
         return offer_content(it, to, content_name(update.name),
                              {update.era, update.version});
     for (auto& part : hosts::split(update, part_bytes))
--- a/libs/hosts/include/godwitbarrow/hosts/messages.hpp
+++ b/libs/hosts/include/godwitbarrow/hosts/messages.hpp
@@ -45,9 +45,9 @@
     std::vector<table_position> tables;
     /// The sender relies on the receiver's heartbeats.
     bool follows = false;
-    /// The sender fetches large updates and serves them. Others get them
-    /// unasked.
-    bool fetches = false;
+    /// The sender supports_transfers large updates and serves them. Others get
+    /// them unasked.
+    bool supports_transfers = false;
 };
 
 struct table_row
@@ -88,7 +88,7 @@
 {
     std::uint64_t version = 0;
     /// The sender serves the rows and the text of it in chunks.
-    bool fetches = false;
+    bool supports_transfers = false;
     /// Era and version of the operator's table with it; 0 if the sender has the
     /// text only.
     std::uint64_t rows_era = 0;
--- a/libs/hosts/src/messages.cpp
+++ b/libs/hosts/src/messages.cpp
@@ -47,11 +47,11 @@
             to, to.CreateString(n.name), n.era, n.version, wire_age(n.age)));
     const auto all_signs = to.CreateVector(signs);
     const auto all_tables = to.CreateVector(tables);
-    return {
-        wire::body::body_status,
-        wire::Createstatus(to, all_signs, it.leaving, it.reads_store,
-                           it.wants_rows, all_tables, it.follows, it.fetches)
-            .Union()};
+    return {wire::body::body_status,
+            wire::Createstatus(to, all_signs, it.leaving, it.reads_store,
+                               it.wants_rows, all_tables, it.follows,
+                               it.supports_transfers)
+                .Union()};
 }
 
 chosen_body put(builder& to, const row_update& it)
@@ -81,10 +81,11 @@
 
 chosen_body put(builder& to, const configuration_notice& it)
 {
-    return {wire::body::body_configuration_notice,
-            wire::Createconfiguration_notice(to, it.version, it.fetches,
-                                             it.rows_era, it.rows_version)
-                .Union()};
+    return {
+        wire::body::body_configuration_notice,
+        wire::Createconfiguration_notice(to, it.version, it.supports_transfers,
+                                         it.rows_era, it.rows_version)
+            .Union()};
 }
 
 chosen_body put(builder& to, const configuration_request& it)
@@ -154,7 +155,7 @@
     out.reads_store = it.reads_store();
     out.wants_rows = it.wants_rows();
     out.follows = it.follows();
-    out.fetches = it.fetches();
+    out.supports_transfers = it.supports_transfers();
     return out;
 }
 
@@ -192,7 +193,7 @@
         case wire::body::body_configuration_notice:
         {
             const auto* n = it.body_as_configuration_notice();
-            return configuration_notice{n->version(), n->fetches(),
+            return configuration_notice{n->version(), n->supports_transfers(),
                                         n->rows_era(), n->rows_version()};
         }
         case wire::body::body_configuration_request:
--- a/libs/transfer/include/godwitbarrow/transfer/receiver.hpp
+++ b/libs/transfer/include/godwitbarrow/transfer/receiver.hpp
@@ -56,10 +56,10 @@
     std::string bytes;
     std::uint64_t size = 0;
     /// When the first request was sent; the content was read later.
-    core::time_point began;
+    core::time_point requested_at;
     /// When its begin has arrived; the content was read before.
-    core::time_point begun;
-    core::time_point heard;
+    core::time_point first_chunk_at;
+    core::time_point heard_at;
     bool queued = false;
 };
 
@@ -68,7 +68,7 @@
     core::host_id self;
     receiver_limits limits;
     std::map<std::string, wanted_content> wanted;
-    std::optional<fetch> now;
+    std::optional<fetch> current;
     /// Number of the last fetch.
     std::uint64_t fetches = 0;
 };
@@ -116,7 +116,7 @@
 std::vector<outgoing> lose_sender(receiver& it, const core::host_id& host,
                                   core::time_point now);
 
-/// Turns from a host that is silent to another.
+/// Asks another host in place of one that is silent.
 std::vector<outgoing> expire(receiver& it, core::time_point now);
 
 /// When `expire` is to be called; absent if nothing is fetched.
--- a/libs/transfer/src/receiver.cpp
+++ b/libs/transfer/src/receiver.cpp
@@ -14,14 +14,15 @@
 
 bool is_fetched(const receiver& it, const std::string& name)
 {
-    return it.now && it.now->name == name;
+    return it.current && it.current->name == name;
 }
 
 /// Whether the message replies to the last request and not to an earlier one.
 bool is_reply(const receiver& it, const core::host_id& from,
               std::uint64_t fetch)
 {
-    return it.now && it.now->from == from && it.now->number == fetch;
+    return it.current && it.current->from == from &&
+           it.current->number == fetch;
 }
 
 /// The nearest source. Hosts that know the same sources choose different ones.
@@ -47,16 +48,16 @@
     f.number = ++it.fetches;
     f.name = name;
     f.from = from;
-    f.began = now;
-    f.heard = now;
+    f.requested_at = now;
+    f.heard_at = now;
     out.push_back({from, request{name, {}, 0, f.number}});
-    it.now = std::move(f);
+    it.current = std::move(f);
 }
 
 /// Starts the next fetch if there is none.
 void fetch_next(receiver& it, core::time_point now, std::vector<outgoing>& out)
 {
-    if (it.now || it.wanted.empty())
+    if (it.current || it.wanted.empty())
         return;
     const auto& [name, what] = *it.wanted.begin();
     begin_fetch(it, name, choose_source(it, what), now, out);
@@ -65,8 +66,8 @@
 /// Ends the fetch; the source learns that nothing more is asked for.
 void stop_fetch(receiver& it, std::vector<outgoing>& out)
 {
-    out.push_back({it.now->from, finished{it.now->name}});
-    it.now.reset();
+    out.push_back({it.current->from, finished{it.current->name}});
+    it.current.reset();
 }
 
 void remove_source(receiver& it, const std::string& name,
@@ -95,9 +96,9 @@
     if (what.offset == 0)
     {
         to.bytes.clear();
-        to.begun = now;
+        to.first_chunk_at = now;
     }
-    to.heard = now;
+    to.heard_at = now;
     to.queued = false;
     to.at = what.at;
     to.size = what.size;
@@ -118,11 +119,11 @@
         it.wanted.erase(n);
 }
 
-/// Turns to another host after one that cannot be used.
+/// Asks another host in place of one that cannot be used.
 void replace_source(receiver& it, core::time_point now,
                     std::vector<outgoing>& out)
 {
-    remove_source(it, it.now->name, it.now->from);
+    remove_source(it, it.current->name, it.current->from);
     stop_fetch(it, out);
     fetch_next(it, now, out);
 }
@@ -138,7 +139,7 @@
 
 std::chrono::milliseconds silence_limit(const receiver& it)
 {
-    return it.now->queued ? it.limits.queued_silence : it.limits.silence;
+    return it.current->queued ? it.limits.queued_silence : it.limits.silence;
 }
 
 }  // namespace
@@ -151,9 +152,10 @@
     std::vector<outgoing> out;
     auto& sources = it.wanted[name].sources;
     sources[from] = holder;
-    const auto asked = it.now ? sources.find(it.now->from) : sources.end();
+    const auto asked =
+        it.current ? sources.find(it.current->from) : sources.end();
     if (detail::is_fetched(it, name) && asked != sources.end() &&
-        detail::is_better(*it.now, from, holder.away, asked->second.away))
+        detail::is_better(*it.current, from, holder.away, asked->second.away))
     {
         detail::stop_fetch(it, out);
         detail::begin_fetch(it, name, from, now, out);
@@ -171,7 +173,7 @@
                            [&](const auto& n) { return !lacks(n.at); });
     if (!detail::is_fetched(it, name))
         return out;
-    const auto& f = *it.now;
+    const auto& f = *it.current;
     const bool needed =
         f.bytes.empty() ? it.wanted.count(name) > 0 : lacks(f.at);
     if (!needed)
@@ -186,7 +188,7 @@
     receiver_result out;
     if (!detail::is_reply(it, from, what.fetch))
         return out;
-    auto& f = *it.now;
+    auto& f = *it.current;
     if (what.size > it.limits.content_bytes || !detail::fits(f, what))
     {
         detail::replace_source(it, now, out.to_send);
@@ -201,8 +203,11 @@
     }
     // What other hosts have beyond this revision is fetched next.
     const auto at = f.at;
-    out.arrived = {
-        f.name, from, {at, std::move(f.bytes)}, now - f.began, now - f.begun};
+    out.arrived = {f.name,
+                   from,
+                   {at, std::move(f.bytes)},
+                   now - f.requested_at,
+                   now - f.first_chunk_at};
     detail::remove_sources(it, f.name,
                            [&](const auto& n) { return !is_later(n.at, at); });
     detail::stop_fetch(it, out.to_send);
@@ -215,15 +220,15 @@
 {
     if (!detail::is_reply(it, from, what.fetch))
         return;
-    it.now->heard = now;
-    it.now->queued = true;
+    it.current->heard_at = now;
+    it.current->queued = true;
 }
 
 std::vector<outgoing> take_finished(receiver& it, const core::host_id& from,
                                     const finished& what, core::time_point now)
 {
     std::vector<outgoing> out;
-    if (detail::is_fetched(it, what.name) && it.now->from == from)
+    if (detail::is_fetched(it, what.name) && it.current->from == from)
         detail::replace_source(it, now, out);
     return out;
 }
@@ -237,8 +242,8 @@
         n->second.sources.erase(host);
         n = n->second.sources.empty() ? it.wanted.erase(n) : std::next(n);
     }
-    if (it.now && it.now->from == host)
-        it.now.reset();
+    if (it.current && it.current->from == host)
+        it.current.reset();
     detail::fetch_next(it, now, out);
     return out;
 }
@@ -246,7 +251,7 @@
 std::vector<outgoing> expire(receiver& it, core::time_point now)
 {
     std::vector<outgoing> out;
-    if (!it.now || now - it.now->heard < detail::silence_limit(it))
+    if (!it.current || now - it.current->heard_at < detail::silence_limit(it))
         return out;
     detail::replace_source(it, now, out);
     return out;
@@ -254,9 +259,9 @@
 
 std::optional<core::time_point> next_expiry(const receiver& it)
 {
-    if (!it.now)
+    if (!it.current)
         return std::nullopt;
-    return it.now->heard + detail::silence_limit(it);
+    return it.current->heard_at + detail::silence_limit(it);
 }
 
 }  // namespace godwitbarrow::transfer
--- a/libs/transfer/test/receiver_test.cpp
+++ b/libs/transfer/test/receiver_test.cpp
@@ -164,7 +164,7 @@
     want("text", "a");
     take("a", "1234");
     BOOST_TEST(messages() == "a finished text");
-    BOOST_TEST(!it.now);
+    BOOST_TEST(!it.current);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
@@ -280,7 +280,7 @@
     take("a", "12345678");
     BOOST_TEST(messages() == "");
     BOOST_TEST(!arrived);
-    BOOST_TEST(it.now->from.value == "b");
+    BOOST_TEST(it.current->from.value == "b");
 }
 
 // Guards against a content that is never fetched because all were silent once.
