--- a/apps/proxy/src/pooled/host_table.hpp
+++ b/apps/proxy/src/pooled/host_table.hpp
@@ -36,7 +36,7 @@
     /// It relies on heartbeats of this host.
     bool follows = false;
     bool wants_rows = false;
-    /// It supports_transfers large updates; another host gets them unasked.
+    /// It fetches large updates; another host gets them unasked.
     bool supports_transfers = false;
     hosts::update_parts parts;
     /// Tables of which it had more than this host at its last heartbeat.
--- a/libs/hosts/include/godwitbarrow/hosts/messages.hpp
+++ b/libs/hosts/include/godwitbarrow/hosts/messages.hpp
@@ -45,7 +45,7 @@
     std::vector<table_position> tables;
     /// The sender relies on the receiver's heartbeats.
     bool follows = false;
-    /// The sender supports_transfers large updates and serves them. Others get
+    /// The sender fetches large updates and serves them. Others get
     /// them unasked.
     bool supports_transfers = false;
 };
