--- a/apps/proxy/src/pooled/content_exchange.cpp
+++ b/apps/proxy/src/pooled/content_exchange.cpp
@@ -58,12 +58,12 @@
                           {"result", result}});
 }
 
-void send(app& it, std::vector<transfer::outgoing> all)
+void send(app& it, const std::vector<transfer::outgoing>& all)
 {
     const auto& sender = it.contents.sender;
     telemetry::set_content_load(*it.metrics, sender.served.size(),
                                 sender.waiting.size());
-    for (auto& n : all)
+    for (const auto& n : all)
         send_to_host(it, n.to, peer::topic::transfers,
                      transfer::encode(n.what));
     watch_silence(it);
@@ -136,7 +136,7 @@
 {
     auto got = transfer::take_chunk(it.contents.receiver, from, std::move(what),
                                     core::runtime_clock::now());
-    send(it, std::move(got.to_send));
+    send(it, got.to_send);
     if (!got.arrived)
         return;
     telemetry::log_event(telemetry::log_level::info, "content fetched",
--- a/libs/transfer/src/receiver.cpp
+++ b/libs/transfer/src/receiver.cpp
@@ -95,14 +95,15 @@
 {
     if (what.offset == 0)
     {
-        to.bytes.clear();
+        to.bytes = std::move(what.bytes);
         to.first_chunk_at = now;
     }
+    else
+        to.bytes += what.bytes;
     to.heard_at = now;
     to.queued = false;
     to.at = what.at;
     to.size = what.size;
-    to.bytes += what.bytes;
 }
 
 template <class Condition>
