--- a/test/pooled/large_configuration_test.cpp
+++ b/test/pooled/large_configuration_test.cpp
@@ -78,6 +78,7 @@
     for (const auto& name : others)
         hosts[name]->freeze();
     std::vector<std::uint64_t> before;
+    before.reserve(readers.size());
     for (const auto& name : readers)
         before.push_back(bytes_sent_by(name));
     write_configuration(2, many_routes);
