--- a/review/standin-3/late.cpp
+++ b/review/standin-3/late.cpp
@@ -27,7 +27,7 @@
         s.connections = 55;
         g = std::make_unique<group>(io, record, platform, "ledger", s);
         // The one that is promoted is in another region.
-        g->members.at("i-ledgerb")->distance = 12ms;
+        g->members.at("i-ledgerb")->distance = 60ms;
         g->members.at("i-ledgerc")->distance = 2ms;
         g->led = [this](const member& m)
         {
