--- a/review/standin-3/late.cpp
+++ b/review/standin-3/late.cc
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "world.hh"
 
 /// An order for a promotion that got no answer is carried out after the
 /// replicas of a service with synchronous replicas receive again.
--- a/review/standin-3/memory.cpp
+++ b/review/standin-3/memory.cc
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "world.hh"
 
 /// Callers of a host that serves no session of a service itself make the hosts
 /// that do exceed their memory.
--- a/review/standin-3/slots.cpp
+++ b/review/standin-3/slots.cc
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "world.hh"
 
 #include <random>
 
--- a/review/standin-3/token.cpp
+++ b/review/standin-3/token.cc
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "world.hh"
 
 /// Case 11: after the store was restored from a copy, two hosts order
 /// promotions of one service with the same fencing token.
