Make fencing tokens unique across restores of the store

Cause: next_token rested on what the host had seen. A host that had not seen a claim that the store lost computed its token again. The reserve of 1000 for lost claims was used up by the first claim of a service, whose last era is 0.

Fix: a token is made of the era and of the version of the row that the claim replaces. An era is never given out again and a version once an era, so no other stored claim has the token. Rows of an era before are not used.

--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -69,11 +69,12 @@
     /// with synchronous replicas may leave unanswered before it is replaced
     /// without its log position.
     unsigned max_primary_queries = 3;
-    /// Fencing tokens that the first claim after a restore of the store leaves
-    /// out, since claims that the store has lost may have used them.
-    std::uint64_t lost_token_reserve = 1000;
 };
 
+/// Number of fencing tokens that claims of one era of the store may use. The
+/// tokens of a later era are above all of these.
+constexpr std::uint64_t tokens_per_era = std::uint64_t{1} << 44;
+
 /// State of the group as observed by this host.
 struct group_view
 {
--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -103,6 +103,9 @@
     auto& state = ctx.state;
     if (state.current_phase != phase::reading)
         return;
+    // The store was restored since the rows were read.
+    if (rows.era < state.store_era)
+        return pause_for(ctx, ctx.settings.retry_delay);
     auto next = rows.last_claim.value_or(claim{});
     note_token(ctx, next.token);
     const bool recent =
@@ -117,7 +120,15 @@
         return cast_vote(ctx, rows);
     if (waits)
         return pause_for(ctx, ctx.settings.retry_delay);
-    next.token = next_token(ctx, rows);
+    const auto token = next_token(ctx, rows);
+    if (!token)
+    {
+        report_step(ctx, "no fencing token left", suspected_primary(state),
+                    "era " + std::to_string(rows.era) + " row version " +
+                        std::to_string(rows.version));
+        return pause_for(ctx, ctx.settings.claim_ttl);
+    }
+    next.token = *token;
     next.era = rows.era;
     next.holder = ctx.settings.self;
     next.replaced = suspected_primary(state);
--- a/libs/takeover/src/restoring.cpp
+++ b/libs/takeover/src/restoring.cpp
@@ -1,6 +1,7 @@
 #include "restoring.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace godwitbarrow::takeover::detail
 {
@@ -50,13 +51,18 @@
     return at && ctx.now - *at < ctx.settings.claim_ttl;
 }
 
-std::uint64_t next_token(const context& ctx, const rows_read& rows)
+std::optional<std::uint64_t> next_token(const context& ctx,
+                                        const rows_read& rows)
 {
-    const auto last = rows.last_claim.value_or(claim{});
-    const auto highest = std::max(ctx.state.highest_token, last.token);
-    const auto lost =
-        last.era == rows.era ? 0 : ctx.settings.lost_token_reserve;
-    return highest + lost + 1;
+    constexpr auto largest = std::numeric_limits<std::uint64_t>::max();
+    if (rows.version >= tokens_per_era || rows.era >= largest / tokens_per_era)
+        return std::nullopt;
+    const auto lowest = rows.era * tokens_per_era + rows.version;
+    const auto last = rows.last_claim.value_or(claim{}).token;
+    const auto highest = std::max({lowest, last, ctx.state.highest_token});
+    if (highest == largest)
+        return std::nullopt;
+    return highest + 1;
 }
 
 }  // namespace godwitbarrow::takeover::detail
--- a/libs/takeover/src/restoring.hpp
+++ b/libs/takeover/src/restoring.hpp
@@ -20,8 +20,11 @@
 /// that the store has lost.
 bool awaits_lost_claims(const context& ctx);
 
-/// Returns a token above all that were used, also by claims that the store has
-/// lost.
-std::uint64_t next_token(const context& ctx, const rows_read& rows);
+/// Returns the token of a claim that replaces the row that was read, or no
+/// value if the era has no token left. No other claim that is stored uses it,
+/// also none that the store has lost: eras are never given out again, and
+/// neither is the version of a row within one of them.
+std::optional<std::uint64_t> next_token(const context& ctx,
+                                        const rows_read& rows);
 
 }  // namespace godwitbarrow::takeover::detail
--- a/libs/takeover/test/claim_test.cpp
+++ b/libs/takeover/test/claim_test.cpp
@@ -50,7 +50,7 @@
     const auto order = first_action<order_promotion>();
     BOOST_REQUIRE(order);
     BOOST_TEST(order->server.value == "c");
-    BOOST_TEST(order->token == 5U);
+    BOOST_TEST(order->token == next_claim_token);
     handle(promotion_answered{order_result::accepted});
     BOOST_TEST(first_action<primary_known>()->promoted);
 }
@@ -126,7 +126,8 @@
     advance_clock(settings.retry_delay);
     no_answer("a");
     auto rows = rows_with_votes(3);
-    rows.last_claim = claim{5, settings.self, {"a"}, store_time - 500ms};
+    rows.last_claim =
+        claim{next_claim_token, settings.self, {"a"}, store_time - 500ms};
     handle(rows);
     answer("b", 45);
     answer("c", 56);
@@ -256,7 +257,8 @@
     advance_clock(settings.retry_delay);
     no_answer("a");
     auto rows = rows_with_votes(3);
-    rows.last_claim = claim{6, {"host-2"}, {"a"}, store_time - 100ms};
+    rows.last_claim =
+        claim{next_claim_token + 1, {"host-2"}, {"a"}, store_time - 100ms};
     handle(rows);
     BOOST_TEST(last_actions.empty());
 }
--- a/libs/takeover/test/decide_test.cpp
+++ b/libs/takeover/test/decide_test.cpp
@@ -32,7 +32,7 @@
 BOOST_FIXTURE_TEST_CASE(is_replaced_at_once_if_no_host_reaches_it, host)
 {
     claim_takeover();
-    BOOST_TEST(state.token == 5U);
+    BOOST_TEST(state.token == next_claim_token);
     BOOST_TEST(first_action<ask_member>().has_value());
 }
 
@@ -99,7 +99,7 @@
     now += settings.solo_claim_delay;
     handle(rows_with_votes(0));
     BOOST_REQUIRE(first_action<write_claim>());
-    BOOST_TEST(first_action<write_claim>()->row.token == 5U);
+    BOOST_TEST(first_action<write_claim>()->row.token == next_claim_token);
 }
 
 // Guards against a primary that is never replaced after the clock of the store
@@ -135,7 +135,7 @@
     BOOST_REQUIRE(first_action<read_rows>());
     handle(rows_with_votes(0));
     BOOST_REQUIRE(first_action<write_claim>());
-    BOOST_TEST(first_action<write_claim>()->row.token == 5U);
+    BOOST_TEST(first_action<write_claim>()->row.token == next_claim_token);
 }
 
 BOOST_FIXTURE_TEST_CASE(is_not_replaced_by_a_member_that_leaves_too, host)
@@ -246,7 +246,8 @@
     observe(false);
     advance_clock(settings.retry_delay);
     auto rows = rows_with_votes(0);
-    rows.last_claim = claim{5, settings.self, {"a"}, store_time - 500ms};
+    rows.last_claim =
+        claim{next_claim_token, settings.self, {"a"}, store_time - 500ms};
     BOOST_REQUIRE(first_action<read_rows>());
     handle(rows);
     answer("b", 9);
--- a/libs/takeover/test/fencing_test.cpp
+++ b/libs/takeover/test/fencing_test.cpp
@@ -22,7 +22,8 @@
     rows_read own_claim() const
     {
         auto rows = rows_with_votes(0);
-        rows.last_claim = claim{5, settings.self, {"a"}, store_time - 500ms};
+        rows.last_claim =
+            claim{next_claim_token, settings.self, {"a"}, store_time - 500ms};
         return rows;
     }
 
--- a/libs/takeover/test/host.hpp
+++ b/libs/takeover/test/host.hpp
@@ -25,6 +25,9 @@
     actions last_actions;
     std::chrono::milliseconds store_time{50000};
     std::uint64_t store_era = 0;
+    /// Version of the row of the last claim, and the token of the next one.
+    static constexpr std::uint64_t last_version = 9;
+    static constexpr std::uint64_t next_claim_token = last_version + 1;
     /// Newest term of the group, which the members report.
     core::term_number newest_term = 3;
     /// Members that stopped receiving, and at which term.
@@ -119,7 +122,7 @@
         rows.last_claim =
             claim{4, {"host-9"}, {"z"}, store_time - 60s, false, store_era};
         rows.era = store_era;
-        rows.version = 9;
+        rows.version = last_version;
         rows.store_time = store_time;
         for (int n = 0; n < others; ++n)
             rows.votes[{"host-" + std::to_string(n + 2)}] = {
--- a/libs/takeover/test/restored_store_test.cpp
+++ b/libs/takeover/test/restored_store_test.cpp
@@ -135,7 +135,7 @@
     read(rows);
     const auto next = first_action<write_claim>();
     BOOST_REQUIRE(next);
-    BOOST_TEST(next->row.token > 9 + settings.lost_token_reserve);
+    BOOST_TEST(next->row.token > 2 * tokens_per_era);
     BOOST_TEST(next->row.era == 2U);
 }
 
