Count the connections of a member that is registered again

What callers saw: nothing yet. A member could be given more statements than its limit, and connections to it counted for no limit and were not used again.

Cause: a member that is dropped from the list loses its counts, and one that is registered again begins with none, while connections of before are still busy or being opened. A statement that ends on one of them lowered the count of the new ones.

Fix: a member that is registered adopts the connections that are left.

--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -74,6 +74,20 @@
     }
 }
 
+/// Counts the connections that have outlived an earlier registration of the
+/// member.
+void adopt_connections(const context& ctx, member& m)
+{
+    for (const auto& [number, c] : ctx.pooler.connections)
+    {
+        if (c.group != m.record.group || c.server != m.record.server)
+            continue;
+        m.connections.insert(number);
+        if (c.phase == connection_phase::busy)
+            ++m.running;
+    }
+}
+
 void update_member(context& ctx, group& g, const registration& to)
 {
     auto [it, added] = g.members.try_emplace(to.server);
@@ -81,10 +95,12 @@
     const auto before = m.record;
     m.record = to;
     if (added)
+    {
         m.preference = routing::rendezvous_hash(to.server.value,
                                                 ctx.pooler.settings.host.value);
-    if (added)
+        adopt_connections(ctx, m);
         return log_member(ctx, to, "member registered");
+    }
     if (!(before.address == to.address) || before.incarnation != to.incarnation)
     {
         m.failed_opens = 0;
