Keep the slots of a queue: the search for a member changes nothing

Cause: the predicate that the queue asks for each entry opened connections, and at the limit closed the idle one on which another entry had been found ready. That entry was taken from the queue, could not start and kept its slot.

Fix: the search for a member is without effects and stands in a file of its own. What waiting statements lack is collected and met once none can start. An entry that cannot start gives its slot back and leaves a line in the log.

--- a/libs/pooler/src/connections.cpp
+++ b/libs/pooler/src/connections.cpp
@@ -141,8 +141,8 @@
 
 }  // namespace
 
-bool open_within_limits(context& ctx, group& g, member& m,
-                        const core::workspace_id& workspace)
+bool open_within_limits(context& ctx, const group& g, member& m,
+                        const core::workspace_id& workspace, std::size_t wanted)
 {
     if (m.reopen_after && *m.reopen_after > ctx.now)
         return false;
@@ -152,10 +152,8 @@
                           return ctx.pooler.connections.at(n).phase ==
                                  connection_phase::opening;
                       });
-    const auto waiting = admission::waiting_count(g.primary_queue) +
-                         admission::waiting_count(g.read_queue);
     if (static_cast<std::size_t>(opening) >=
-        std::min(ctx.pooler.settings.max_concurrent_opens, waiting))
+        std::min(ctx.pooler.settings.max_concurrent_opens, wanted))
         return false;
     if (!make_room(ctx, g, m, workspace))
         return false;
--- a/libs/pooler/src/connections.hpp
+++ b/libs/pooler/src/connections.hpp
@@ -23,12 +23,13 @@
 /// Whether the connection leads to a primary that must not be used any more.
 bool is_on_revoked_primary(const context& ctx, const backend_connection& c);
 
-/// Opens a connection for the workspace if the limits allow it and fewer
-/// connections are being opened than statements are queued. At the limit, the
-/// least recently used idle connection of another workspace is closed for it.
-/// Returns whether it was opened.
-bool open_within_limits(context& ctx, group& g, member& m,
-                        const core::workspace_id& workspace);
+/// Opens a connection for the workspace if the limits allow it and fewer than
+/// `wanted` connections are being opened. At the limit, the least recently used
+/// idle connection of another workspace is closed for it. Returns whether it
+/// was opened.
+bool open_within_limits(context& ctx, const group& g, member& m,
+                        const core::workspace_id& workspace,
+                        std::size_t wanted);
 
 /// Closes the connection and removes it from the state.
 void drop_connection(context& ctx, connection_number number);
--- a/libs/pooler/src/placement.cpp
+++ b/libs/pooler/src/placement.cpp
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include "connections.hpp"
-#include "freshness.hpp"
+#include "member_choice.hpp"
 #include "primary_evidence.hpp"
 #include "sending.hpp"
 
@@ -53,139 +52,52 @@
     return it;
 }
 
-/// A member and an idle connection on which a queued statement can start.
-struct assignment
+/// A statement that finds no idle connection of its workspace.
+struct unmet_request
 {
-    core::server_id server;
-    connection_number connection = 0;
+    core::workspace_id workspace;
+    /// Members that may run the statement, best first.
+    std::vector<core::server_id> servers;
 };
 
-bool is_skipped(const member& m, const pending_statement& p,
-                const pooler_settings& settings, core::time_point now)
-{
-    if (m.record.leaving || p.excluded.count(m.record.server) > 0)
-        return true;
-    if (m.lagging_until && *m.lagging_until > now)
-        return true;
-    return m.failed_at && now - *m.failed_at < settings.failed_back_off;
-}
-
-/// Least time that a connection to a member of the group took.
-std::optional<core::duration> fastest_open(const group& g)
+/// What the statements of a queue lack that cannot start.
+struct unmet_needs
 {
-    std::optional<core::duration> out;
-    for (const auto& [id, m] : g.members)
-        if (m.fastest_open && (!out || *m.fastest_open < *out))
-            out = m.fastest_open;
-    return out;
-}
-
-/// Time for the network beyond that to the nearest member of the group; at
-/// equal distance the local data centre is preferred. A remote member that was
-/// never connected to comes first once, to find out its distance, unless a
-/// replica of the local data centre can serve.
-core::duration network_time(const context& ctx, const member& m,
-                            std::optional<core::duration> fastest,
-                            bool has_local)
-{
-    const auto& settings = ctx.pooler.settings;
-    const bool local = m.record.data_centre == settings.data_centre;
-    if (m.fastest_open && fastest)
-    {
-        const auto beyond =
-            std::max(*m.fastest_open - *fastest, core::duration{});
-        return local
-                   ? beyond
-                   : std::max<core::duration>(beyond, settings.load.resolution);
-    }
-    const bool unknown = m.failed_opens == 0 && (local || !has_local);
-    return unknown ? core::duration{} : settings.unknown_network_time;
-}
-
-bool has_local_replica(const context& ctx, const group& g)
-{
-    return std::any_of(g.members.begin(), g.members.end(),
-                       [&](const auto& n)
-                       {
-                           return g.primary != n.first &&
-                                  n.second.record.data_centre ==
-                                      ctx.pooler.settings.data_centre;
-                       });
-}
-
-/// The members that may run a read of bounded age. The primary is kept free,
-/// because only it can run writes.
-std::vector<routing::load_candidate> load_candidates(const context& ctx,
-                                                     const group& g,
-                                                     const pending_statement& p)
-{
-    std::vector<routing::load_candidate> out;
-    const auto fastest = fastest_open(g);
-    const bool has_local = has_local_replica(ctx, g);
-    for (const auto& [id, m] : g.members)
-    {
-        if (is_skipped(m, p, ctx.pooler.settings, ctx.now))
-            continue;
-        out.push_back({id, m.load, m.running, m.record.slots,
-                       network_time(ctx, m, fastest, has_local),
-                       g.primary == id});
-    }
-    return out;
-}
+    /// Statements that waited when the search began.
+    std::size_t waiting = 0;
+    std::vector<unmet_request> of_workspaces;
+    /// Callers without a workspace share their connections, so one is opened to
+    /// each member that is the best for one of them.
+    std::vector<core::server_id> shared;
+    /// Primaries that have to be confirmed.
+    std::vector<core::server_id> unconfirmed;
+};
 
-/// Returns the members that may run a read of bounded age, those on which it
-/// ends soonest first. Hosts order equal members differently, so that the reads
-/// of all hosts spread over them while each host uses few connections.
-std::vector<core::server_id> read_candidates(const context& ctx, const group& g,
-                                             const pending_statement& p)
+void add_once(std::vector<core::server_id>& to, const core::server_id& id)
 {
-    using rating = std::tuple<core::duration, std::uint64_t, core::server_id>;
-    const auto members = load_candidates(ctx, g, p);
-    const auto& settings = ctx.pooler.settings;
-    const auto times =
-        routing::expected_times(members, settings.load, settings.host, ctx.now);
-    std::vector<rating> rated;
-    for (std::size_t n = 0; n < members.size(); ++n)
-        rated.emplace_back(times[n], g.members.at(members[n].server).preference,
-                           members[n].server);
-    std::sort(rated.begin(), rated.end());
-    std::vector<core::server_id> out;
-    out.reserve(rated.size());
-    for (auto& it : rated)
-        out.push_back(std::move(std::get<core::server_id>(it)));
-    return out;
+    if (std::find(to.begin(), to.end(), id) == to.end())
+        to.push_back(id);
 }
 
-std::vector<core::server_id> candidates(const context& ctx, const group& g,
-                                        const caller_session& s)
+void note_needs(unmet_needs& to, const caller_session& s,
+                assignment_search search)
 {
-    if (!s.current->primary_only &&
-        required_position(g, s, ctx.pooler.settings))
-        if (auto reads = read_candidates(ctx, g, *s.current); !reads.empty())
-            return reads;
-    const auto primary = primary_candidate(g, ctx.pooler.settings, ctx.now);
-    if (!primary)
-        return {};
-    // While no primary is known, the candidate is a guess. A replica that
-    // refused this read as lagging would refuse it again.
-    if (!s.current->primary_only && primary != g.primary &&
-        s.current->excluded.count(*primary) > 0)
-        return {};
-    return {*primary};
+    if (search.primary)
+        add_once(to.unconfirmed, *search.primary);
+    if (search.unconnected.empty())
+        return;
+    // Also if a worse member runs this statement.
+    if (s.workspace.value.empty())
+        return add_once(to.shared, search.unconnected.front());
+    if (search.found)
+        return;
+    to.of_workspaces.push_back({s.workspace, std::move(search.unconnected)});
 }
 
-/// A statement that finds no idle connection of its workspace.
-struct unmet_request
-{
-    core::workspace_id workspace;
-    /// Members that may run the statement, best first.
-    std::vector<core::server_id> servers;
-};
-
 /// Opens a connection to the best member that allows one. One that is being
 /// opened for the workspace and not in `expected` is awaited instead.
 void open_for(context& ctx, group& g, const unmet_request& request,
-              std::set<connection_number>& expected)
+              std::size_t wanted, std::set<connection_number>& expected)
 {
     for (const auto& id : request.servers)
         for (const auto number : g.members.at(id).connections)
@@ -197,48 +109,14 @@
                 return;
         }
     for (const auto& id : request.servers)
-        if (open_within_limits(ctx, g, g.members.at(id), request.workspace))
+        if (open_within_limits(ctx, g, g.members.at(id), request.workspace,
+                               wanted))
         {
             expected.insert(ctx.pooler.last_connection);
             return;
         }
 }
 
-/// Selects an idle connection for the statement. If there is none, adds the
-/// members to which one could be opened to `unmet`. Callers without a workspace
-/// share all connections, so one to the best available member is opened at once
-/// for later statements.
-std::optional<assignment> find_assignment(context& ctx, group& g,
-                                          const caller_session& s,
-                                          std::vector<unmet_request>& unmet)
-{
-    unmet_request request{s.workspace, {}};
-    const bool shared = s.workspace.value.empty();
-    const bool primary_only = s.current->primary_only ||
-                              !required_position(g, s, ctx.pooler.settings);
-    for (const auto& id : candidates(ctx, g, s))
-    {
-        auto& m = g.members.at(id);
-        if (primary_only)
-            refresh_evidence(ctx, g, id);
-        if (primary_only && !is_confirmed(ctx, g, id))
-            continue;
-        if (m.running >= running_limit(ctx.pooler, m))
-            continue;
-        if (m.busy_until && *m.busy_until > ctx.now)
-            continue;
-        const auto number = pick_idle(ctx.pooler, m, s);
-        if (number != 0)
-            return assignment{id, number};
-        if (shared && request.servers.empty())
-            open_within_limits(ctx, g, m, s.workspace);
-        request.servers.push_back(id);
-    }
-    if (!shared && !request.servers.empty())
-        unmet.push_back(std::move(request));
-    return std::nullopt;
-}
-
 void start_statement(context& ctx, group& g, session_number number,
                      const assignment& at)
 {
@@ -257,42 +135,75 @@
     send_first(ctx, g, number);
 }
 
-/// Opens connections for statements of workspaces, in the order of the queue.
-void open_for_all(context& ctx, group& g,
-                  const std::vector<unmet_request>& unmet)
+/// Asks for what statements lack that could not start, in the order of the
+/// queue.
+void meet_needs(context& ctx, group& g, const unmet_needs& needs)
 {
+    for (const auto& id : needs.unconfirmed)
+        refresh_evidence(ctx, g, id);
+    for (const auto& id : needs.shared)
+        open_within_limits(ctx, g, g.members.at(id), {}, needs.waiting);
     std::set<connection_number> expected;
-    for (const auto& request : unmet)
-        open_for(ctx, g, request, expected);
+    for (const auto& request : needs.of_workspaces)
+        open_for(ctx, g, request, needs.waiting, expected);
 }
 
-void dispatch_queue(context& ctx, group& g, admission::queue_state& queue)
+/// Gives the slot of an entry back that was taken from the queue but cannot
+/// start.
+void return_entry(context& ctx, const group& g, admission::queue_state& queue,
+                  const admission::queue_entry& entry)
+{
+    admission::release_slot(queue, entry.importance, std::nullopt);
+    admission::requeue_front(queue, entry);
+    decision_note n;
+    n.message = "statement returned to its queue";
+    n.server = g.primary.value_or(core::server_id{});
+    n.detail = "the connection chosen for it is not available";
+    ctx.out.push_back(std::move(n));
+}
+
+/// Starts the statements of the queue that can start; returns what the others
+/// lack.
+unmet_needs start_ready(context& ctx, group& g, admission::queue_state& queue)
 {
     const auto limits = queue_limits();
+    unmet_needs needs;
+    needs.waiting = admission::waiting_count(g.primary_queue) +
+                    admission::waiting_count(g.read_queue);
+    // Entries of one rank differ in the members that may run them, so a later
+    // entry can be ready when the first is not.
+    const auto ready = [&](const admission::queue_entry& entry)
+    {
+        const auto& s = ctx.pooler.sessions.at(session_of(entry));
+        auto search = find_assignment(ctx, g, s);
+        const bool found = search.found.has_value();
+        note_needs(needs, s, std::move(search));
+        return found;
+    };
     while (admission::waiting_count(queue) > 0)
     {
-        std::optional<assignment> chosen;
-        std::vector<unmet_request> unmet;
-        // Entries of one session key and policy differ in the members that may
-        // run them, so a later entry can be ready when the first is not.
-        const auto ready = [&](const admission::queue_entry& entry)
-        {
-            const auto& s = ctx.pooler.sessions.at(session_of(entry));
-            chosen = find_assignment(ctx, g, s, unmet);
-            return chosen.has_value();
-        };
+        needs.of_workspaces.clear();
         const auto next = admission::dequeue_next(queue, limits, ready);
-        // Only once no statement can start, so that none loses its connection
-        // to one that is opened for another.
         if (!next)
-            return open_for_all(ctx, g, unmet);
+            break;
         const auto number = session_of(*next);
-        // The last entry that `ready` examined need not be the one taken.
-        chosen = find_assignment(ctx, g, ctx.pooler.sessions.at(number), unmet);
+        const auto chosen =
+            find_assignment(ctx, g, ctx.pooler.sessions.at(number)).found;
         if (!chosen)
-            return;
+        {
+            return_entry(ctx, g, queue, *next);
+            break;
+        }
         start_statement(ctx, g, number, *chosen);
     }
+    return needs;
+}
+
+/// Connections are opened only once no statement can start, so that none loses
+/// its connection to one that is opened for another.
+void dispatch_queue(context& ctx, group& g, admission::queue_state& queue)
+{
+    meet_needs(ctx, g, start_ready(ctx, g, queue));
 }
 
 void update_queue_slots(context& ctx, group& g)
--- a/libs/pooler/test/sim/fleet.cpp
+++ b/libs/pooler/test/sim/fleet.cpp
@@ -1,4 +1,5 @@
 #include "sim/fleet.hpp"
+#include "slots.hpp"
 
 namespace godwitbarrow::pooler::sim
 {
@@ -244,6 +245,8 @@
         return h.held.push_back(what);
     for (const auto& a : decide(h.pooler, what, it.now))
         std::visit(action_handler{it, host}, a);
+    if (const auto lost = test::find_lost_slot(it.hosts[host].pooler))
+        it.oracle.violations.push_back("lost slot: " + *lost);
 }
 
 void release_frozen(fleet& it, std::size_t host)
