Settle claims: only an accepted order makes earlier ones void

Cause: a host took an unanswered order for void after 7 s and let the replicas receive again; a host that took over from a failed one did so too. The platform checks nothing but the token when a late order arrives.

Fix: a claim is settled once the platform has accepted an order under its token, and a token names one member only. An old primary that leads on is ordered under a new claim before replicas receive again. Hosts use no primary of the group while its last claim is not settled, and then only the settled one: else callers could write to a member that a late order promotes, while the order that keeps the old primary is still under way.

--- a/apps/proxy/src/pooled/takeover_rows.cpp
+++ b/apps/proxy/src/pooled/takeover_rows.cpp
@@ -172,12 +172,12 @@
                   what.expected_version, std::move(handler));
 }
 
-void write_cleared_row(app& it, const std::shared_ptr<service_link>& on,
-                       const core::group_id& group,
-                       const takeover::clear_pauses& what)
+void write_changed_row(app& it, const std::shared_ptr<service_link>& on,
+                       const core::group_id& group, const takeover::claim& row,
+                       std::uint64_t expected_version)
 {
-    detail::write(it, on, detail::claim_row(group, what.row),
-                  what.expected_version, [](const takeover::event&) {});
+    detail::write(it, on, detail::claim_row(group, row), expected_version,
+                  [](const takeover::event&) {});
 }
 
 void write_vote_row(app& it, const std::shared_ptr<service_link>& on,
--- a/apps/proxy/src/pooled/takeover_rows.hpp
+++ b/apps/proxy/src/pooled/takeover_rows.hpp
@@ -29,10 +29,11 @@
                     const core::group_id& group,
                     const takeover::write_vote& what, takeover_handler handler);
 
-/// Clears the mark of a claim that replicas are paused.
-void write_cleared_row(app& it, const std::shared_ptr<service_link>& on,
-                       const core::group_id& group,
-                       const takeover::clear_pauses& what);
+/// Writes a change of a claim that was made before under the version that it
+/// expects. The result is of no use.
+void write_changed_row(app& it, const std::shared_ptr<service_link>& on,
+                       const core::group_id& group, const takeover::claim& row,
+                       std::uint64_t expected_version);
 
 struct claim_handlers
 {
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -29,6 +29,7 @@
     takeover::takeover_settings out;
     out.self = it.settings.name;
     out.revoke_before_promotion = !it.settings.fencing;
+    out.checks_tokens = it.settings.fencing;
     return out;
 }
 
@@ -90,6 +91,13 @@
         };
     }
 
+    /// On a connection of its own, since the next call may follow before the
+    /// answer.
+    void change_row(const takeover::claim& row, std::uint64_t version) const
+    {
+        write_changed_row(in, make_store_link(in), group, row, version);
+    }
+
     void operator()(const takeover::read_rows&) const
     {
         read_takeover_rows(in, link_of(in, group, false), group, feed_back());
@@ -100,9 +108,14 @@
         write_claim_row(in, link_of(in, group, false), group, a, feed_back());
     }
 
+    void operator()(const takeover::settle_claim& a) const
+    {
+        change_row(a.row, a.expected_version);
+    }
+
     void operator()(const takeover::clear_pauses& a) const
     {
-        write_cleared_row(in, link_of(in, group, false), group, a);
+        change_row(a.row, a.expected_version);
     }
 
     void operator()(const takeover::write_vote& a) const
@@ -141,6 +154,11 @@
         handle(in, pooler::primary_revoked{group, a.server});
     }
 
+    void operator()(const takeover::use_primary& a) const
+    {
+        handle(in, pooler::primary_settled{group, a.token, a.server});
+    }
+
     void operator()(const takeover::primary_known& a) const
     {
         handle(in, pooler::primary_confirmed{group, a.server, a.promoted});
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -90,6 +90,16 @@
     core::server_id server;
 };
 
+/// Which member may be used as the primary of a group with synchronous replicas
+/// as of the last claim of a host. While there is none, a promotion that was
+/// ordered may take effect at any time, and a commit would be lost by it.
+struct primary_settled
+{
+    core::group_id group;
+    std::uint64_t token = 0;
+    std::optional<core::server_id> server;
+};
+
 /// The claims of all hosts were read from the store, and those found have been
 /// reported as `primary_revoked`.
 struct claims_read
@@ -177,8 +187,8 @@
 using event = std::variant<
     caller_started, caller_query, caller_disconnected, member_connected,
     member_answered, member_connection_lost, configuration_changed,
-    members_changed, primary_confirmed, primary_revoked, claims_read,
-    replica_answered, host_count_changed, group_shares_changed,
+    members_changed, primary_confirmed, primary_revoked, primary_settled,
+    claims_read, replica_answered, host_count_changed, group_shares_changed,
     relayed_sessions_draining, operations_lent, timer_tick, shutdown_started>;
 
 struct accept_caller
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -311,6 +311,15 @@
     bool replaced = false;
 };
 
+/// The only member that may be used as the primary, as of a claim.
+struct settlement
+{
+    std::uint64_t token = 0;
+    /// None while the claim is not settled.
+    std::optional<core::server_id> server;
+    core::time_point since;
+};
+
 struct group
 {
     group_settings settings;
@@ -321,6 +330,8 @@
     /// registered as the primary.
     std::optional<core::server_id> primary;
     std::optional<revocation> revoked;
+    /// Absent if the group has no claim that needs it.
+    std::optional<settlement> settled;
     /// Begin of the last read of the claims of all hosts.
     std::optional<core::time_point> claims_read_at;
     /// The primary that the last of them replaces, and its token.
--- a/libs/pooler/src/answers.cpp
+++ b/libs/pooler/src/answers.cpp
@@ -85,11 +85,12 @@
 {
     if (!is_confirmed(ctx, c))
         return true;
-    if (!is_on_revoked_primary(ctx, c))
+    const auto g = ctx.pooler.groups.find(c.group);
+    if (g == ctx.pooler.groups.end())
         return false;
-    const auto& revoked = *ctx.pooler.groups.at(c.group).revoked;
-    return revoked.replaced ||
-           ctx.now - revoked.since >= ctx.pooler.settings.revoked_commit_limit;
+    const auto& settings = ctx.pooler.settings;
+    const auto since = revoked_since(g->second, c.server, settings, ctx.now);
+    return since && ctx.now - *since >= settings.revoked_commit_limit;
 }
 
 /// Answers a commit that was acknowledged but may be lost.
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -160,6 +160,24 @@
     dispatch(ctx, g->second);
 }
 
+void apply_settlement(context& ctx, const primary_settled& what)
+{
+    // The configuration may come later.
+    auto& g = ctx.pooler.groups[what.group];
+    const auto before = g.settled;
+    settle_primary(g, what.token, what.server, ctx.now);
+    if (!before || before->server != g.settled->server)
+    {
+        decision_note n;
+        n.message = what.server ? "primary settled" : "primary not settled";
+        n.group = what.group;
+        n.server = what.server.value_or(core::server_id{});
+        n.detail = "token " + std::to_string(what.token);
+        ctx.out.push_back(std::move(n));
+    }
+    dispatch(ctx, g);
+}
+
 void apply_shares(context& ctx, const group_shares_changed& what)
 {
     for (auto& [id, g] : ctx.pooler.groups)
@@ -240,6 +258,10 @@
     {
         apply_revocation(ctx, it);
     }
+    void operator()(const primary_settled& it) const
+    {
+        apply_settlement(ctx, it);
+    }
     void operator()(const claims_read& it) const
     {
         record_claims_read(ctx, it);
--- a/libs/pooler/src/freshness.cpp
+++ b/libs/pooler/src/freshness.cpp
@@ -78,12 +78,48 @@
 bool is_revoked(const group& it, const core::server_id& server,
                 const pooler_settings& settings, core::time_point now)
 {
+    if (it.settled && it.settled->server != server)
+        return true;
     if (!it.revoked || it.revoked->server != server)
         return false;
     return it.revoked->replaced ||
            now - it.revoked->renewed_at < settings.revocation_limit;
 }
 
+std::optional<core::time_point> revoked_since(const group& it,
+                                              const core::server_id& server,
+                                              const pooler_settings& settings,
+                                              core::time_point now)
+{
+    if (!is_revoked(it, server, settings, now))
+        return std::nullopt;
+    const bool unsettled = it.settled && it.settled->server != server;
+    const bool named = it.revoked && it.revoked->server == server;
+    if (named && it.revoked->replaced)
+        return core::time_point{};
+    if (unsettled && named)
+        return std::min(it.settled->since, it.revoked->since);
+    return unsettled ? it.settled->since : it.revoked->since;
+}
+
+void settle_primary(group& it, std::uint64_t token,
+                    const std::optional<core::server_id>& server,
+                    core::time_point now)
+{
+    if (it.settled && token < it.settled->token)
+        return;
+    if (it.settled && it.settled->token == token &&
+        it.settled->server == server)
+        return;
+    const bool was_open = !it.settled || it.settled->server;
+    const auto since = !server && !was_open ? it.settled->since : now;
+    it.settled = settlement{token, server, since};
+    if (server && it.revoked && it.revoked->server == *server)
+        it.revoked.reset();
+    if (server && it.members.count(*server) > 0)
+        set_primary(it, *server);
+}
+
 namespace
 {
 
--- a/libs/pooler/src/freshness.hpp
+++ b/libs/pooler/src/freshness.hpp
@@ -22,6 +22,19 @@
 bool is_revoked(const group& it, const core::server_id& server,
                 const pooler_settings& settings, core::time_point now);
 
+/// Returns since when the member has not been allowed as the primary; absent if
+/// it is allowed. The beginning of time for one that was replaced.
+std::optional<core::time_point> revoked_since(const group& it,
+                                              const core::server_id& server,
+                                              const pooler_settings& settings,
+                                              core::time_point now);
+
+/// Allows only this member as the primary, or none, as of the claim with this
+/// token. An older claim changes nothing.
+void settle_primary(group& it, std::uint64_t token,
+                    const std::optional<core::server_id>& server,
+                    core::time_point now);
+
 /// Updates the assumed primary from the roles that the members registered.
 void adopt_reported_primary(group& it, const pooler_settings& settings,
                             core::time_point now);
--- a/libs/pooler/test/revocation_test.cpp
+++ b/libs/pooler/test/revocation_test.cpp
@@ -193,3 +193,73 @@
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(when_a_claim_of_a_group_is_not_settled)
+
+struct settling_fixture : revoking_fixture
+{
+    void settle(std::uint64_t token, std::optional<core::server_id> server)
+    {
+        post(primary_settled{group, token, std::move(server)});
+    }
+};
+
+// Guards against a commit at a member that an order promoted late, while one
+// that keeps the old primary may still take effect (review case 13).
+BOOST_FIXTURE_TEST_CASE(no_member_is_used_as_the_primary, settling_fixture)
+{
+    start(1, "newest");
+    read_newest(1, {1, 5});
+    settle(5, std::nullopt);
+    report("near", core::member_role::primary);
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(all_of<send_to_member>().empty());
+    wait(75ms);
+    BOOST_TEST(all_of<send_to_member>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(the_settled_one_is_used_once_it_is, settling_fixture)
+{
+    start(1, "newest");
+    read_newest(1, {1, 5});
+    settle(5, std::nullopt);
+    settle(5, core::server_id{"near"});
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(server_of(sent().connection) == "near");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_primary_that_was_kept_is_used_again, settling_fixture)
+{
+    start(1, "newest");
+    read_newest(1, {1, 5});
+    revoke();
+    settle(5, std::nullopt);
+    settle(6, core::server_id{"primary"});
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(server_of(sent().connection) == "primary");
+}
+
+// Guards against an older row that a restored store returns.
+BOOST_FIXTURE_TEST_CASE(an_older_claim_changes_nothing, settling_fixture)
+{
+    start(1, "newest");
+    read_newest(1, {1, 5});
+    settle(5, std::nullopt);
+    settle(4, core::server_id{"primary"});
+    query(1, verb::write, "WRITE 1 x");
+    BOOST_TEST(all_of<send_to_member>().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_late_commit_is_in_doubt, settling_fixture)
+{
+    start(1, "newest");
+    query(1, verb::write, "WRITE 1 x");
+    const auto c = sent().connection;
+    settle(5, std::nullopt);
+    wait(pooler_state.settings.revoked_commit_limit);
+    settle(6, std::nullopt);
+    succeed(c, {1, 6}, session_state::idle, "signed");
+    BOOST_TEST(outcome(1) == "in doubt");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -42,13 +42,20 @@
     /// allows.
     std::chrono::milliseconds solo_claim_delay{8000};
     std::chrono::milliseconds answer_timeout{400};
+    /// How long rows that were read count as what the store holds. A host that
+    /// was frozen meanwhile may have missed the claim of another.
+    std::chrono::milliseconds rows_limit{1500};
     std::chrono::milliseconds retry_delay{200};
     /// Delay after a promotion before the next takeover may start.
     std::chrono::milliseconds promotion_settle_time{2000};
     /// How long the request for a promotion may remain unanswered.
     std::chrono::milliseconds promotion_timeout{1000};
-    /// How long an unanswered order may still take effect.
+    /// How long an unanswered order is awaited where the platform checks no
+    /// tokens. It may take effect later all the same.
     std::chrono::milliseconds late_order_limit{7000};
+    /// Whether the platform rejects an order with a lower token than one that
+    /// it has seen. Only such a token makes an unanswered order void.
+    bool checks_tokens = true;
     /// Whether the old primary is revoked before a promotion is ordered. Needed
     /// where it leads on after the promotion until it is told to step down.
     bool revoke_before_promotion = false;
@@ -196,6 +203,14 @@
     std::uint64_t expected_version = 0;
 };
 
+/// Writes which member the claim has made or kept the primary. The result is of
+/// no use: it is written again with the next change of the row.
+struct settle_claim
+{
+    claim row;
+    std::uint64_t expected_version = 0;
+};
+
 /// Writes the claim row without its mark that replicas are paused. The result
 /// is of no use: the row is observed again if it was not written.
 struct clear_pauses
@@ -234,6 +249,15 @@
     std::uint64_t token = 0;
 };
 
+/// Which member of a group with synchronous replicas may be used as the primary
+/// as of a claim; none until the claim is settled, since orders under it and
+/// under earlier claims may still take effect.
+struct use_primary
+{
+    std::uint64_t token = 0;
+    std::optional<core::server_id> server;
+};
+
 /// The member is the primary or is being promoted.
 struct primary_known
 {
@@ -250,8 +274,9 @@
 };
 
 using action =
-    std::variant<read_rows, write_claim, clear_pauses, write_vote, ask_member,
-                 order_promotion, revoke_primary, primary_known, failover_step>;
+    std::variant<read_rows, write_claim, settle_claim, clear_pauses, write_vote,
+                 ask_member, order_promotion, revoke_primary, use_primary,
+                 primary_known, failover_step>;
 using actions = std::vector<action>;
 
 enum class phase
@@ -270,6 +295,8 @@
     /// Waits for the old primary to step down, or for the hosts to see the
     /// claim.
     revoking,
+    /// Waits for the hosts to see a claim that keeps the primary.
+    keeping,
     promoting,
     /// Waits before the next attempt, or for a promotion to take effect.
     pausing
@@ -334,6 +361,22 @@
     std::optional<pausing_claim> unfinished;
     /// Terms of the pauses that the current queries ask for.
     std::map<core::server_id, core::term_number> pause_terms;
+    /// The last claim of this host, and the version of its row.
+    claim own_claim;
+    std::uint64_t own_claim_version = 0;
+    /// The member that orders under that claim name; empty before the first. A
+    /// token names one member only: of two orders with one token that arrive
+    /// late, each would take effect.
+    core::server_id ordered;
+    /// Whether the platform has accepted such an order.
+    bool order_accepted = false;
+    /// Whether the claim must be made anew because another member has to be
+    /// ordered than the one that an unanswered order names.
+    bool claim_spent = false;
+    /// Whether no order under an earlier claim can take effect any more.
+    bool earlier_orders_void = false;
+    /// The primary that the takeover in progress keeps.
+    std::optional<core::server_id> kept;
     /// When the last order was sent that has not been answered.
     std::optional<core::time_point> unanswered_order_at;
     /// Targets whose promotion was refused under this claim because they are
--- a/libs/takeover/include/godwitbarrow/takeover/row.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/row.hpp
@@ -25,6 +25,10 @@
     bool replicas_paused = false;
     /// Era of the store in which the claim was made.
     std::uint64_t era = 0;
+    /// The member that is the primary since the platform accepted an order for
+    /// it under the token of this claim; empty until then, and in groups
+    /// without synchronous replicas.
+    core::server_id settled = {};
 };
 
 /// Statement of a host that it cannot reach the primary. There is one row per
--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -5,6 +5,7 @@
 #include "fencing.hpp"
 #include "restoring.hpp"
 #include "resuming.hpp"
+#include "settling.hpp"
 
 namespace godwitbarrow::takeover::detail
 {
@@ -77,12 +78,20 @@
          rows.store_time}});
 }
 
-/// Whether the row is the last claim of this host. One that was written under a
-/// condition of an earlier era counts for nothing.
-bool is_own_claim(const context& ctx, const claim& row)
+/// Whether the last claim was made so recently that it may be acted on.
+bool is_claim_recent(const context& ctx, const rows_read& rows)
 {
-    return row.holder == ctx.settings.self && row.token == ctx.state.token &&
-           row.era == ctx.state.store_era;
+    const auto last = rows.last_claim.value_or(claim{});
+    return last.token > 0 &&
+           is_recent(last.claimed_at, rows.store_time, ctx.settings.claim_ttl);
+}
+
+/// Whether the comparison may begin, or begin anew, under the last claim. Once
+/// an order under it was accepted, the next one needs a higher token.
+bool holds_claim(const context& ctx, const rows_read& rows)
+{
+    return is_claim_recent(ctx, rows) && is_own_claim(ctx, *rows.last_claim) &&
+           !ctx.state.order_accepted && !ctx.state.claim_spent;
 }
 
 bool needs_votes(const takeover_state& state)
@@ -92,6 +101,18 @@
 
 }  // namespace
 
+bool is_own_claim(const context& ctx, const claim& row)
+{
+    return row.holder == ctx.settings.self && row.token == ctx.state.token &&
+           row.era == ctx.state.store_era;
+}
+
+bool is_claimed_by_other(const context& ctx, const rows_read& rows)
+{
+    return is_claim_recent(ctx, rows) &&
+           rows.last_claim->holder != ctx.settings.self;
+}
+
 void start_reading_rows(context& ctx)
 {
     enter_phase(ctx, phase::reading);
@@ -106,20 +127,28 @@
     // The store was restored since the rows were read.
     if (rows.era < state.store_era)
         return pause_for(ctx, ctx.settings.retry_delay);
-    auto next = rows.last_claim.value_or(claim{});
-    note_token(ctx, next.token);
-    const bool recent =
-        next.token > 0 &&
-        is_recent(next.claimed_at, rows.store_time, ctx.settings.claim_ttl);
-    if (recent && is_own_claim(ctx, next))
+    note_token(ctx, rows.last_claim.value_or(claim{}).token);
+    if (state.kept)
+        return handle_rows_for_kept(ctx, rows);
+    if (holds_claim(ctx, rows))
+    {
+        state.own_claim_version = rows.version;
         return begin_comparison(ctx);
-    if (recent && next.holder != ctx.settings.self)
+    }
+    if (is_claimed_by_other(ctx, rows))
         return pause_for(ctx, ctx.settings.retry_delay);
     const bool waits = awaits_lost_claims(ctx);
     if (needs_votes(state) && (waits || !may_claim(ctx, rows)))
         return cast_vote(ctx, rows);
     if (waits)
         return pause_for(ctx, ctx.settings.retry_delay);
+    write_next_claim(ctx, rows, suspected_primary(state));
+}
+
+void write_next_claim(context& ctx, const rows_read& rows,
+                      const core::server_id& replaced)
+{
+    auto& state = ctx.state;
     const auto token = next_token(ctx, rows);
     if (!token)
     {
@@ -128,14 +157,16 @@
                         std::to_string(rows.version));
         return pause_for(ctx, ctx.settings.claim_ttl);
     }
+    auto next = rows.last_claim.value_or(claim{});
     next.token = *token;
     next.era = rows.era;
     next.holder = ctx.settings.self;
-    next.replaced = suspected_primary(state);
+    next.replaced = replaced;
     next.claimed_at = rows.store_time;
     next.replicas_paused = next.replicas_paused ||
                            state.view.synchronous_replicas > 0 ||
                            state.unfinished.has_value();
+    next.settled = {};
     state.token = next.token;
     state.claim_era = next.era;
     note_token(ctx, next.token);
@@ -146,6 +177,11 @@
     state.claimed_at = state.phase_entered_at;
     state.refused_targets.clear();
     state.promotion_attempts = 0;
+    state.earlier_orders_void = is_settled(rows);
+    state.ordered = {};
+    state.order_accepted = false;
+    state.claim_spent = false;
+    state.own_claim = next;
     enter_phase(ctx, phase::claiming);
     ctx.out.push_back(write_claim{std::move(next), rows.version});
 }
@@ -161,8 +197,13 @@
     // shows it.
     if (input.result != write_result::done)
         return pause_for(ctx, ctx.settings.retry_delay);
-    report_step(ctx, "takeover claimed", suspected_primary(state),
+    state.own_claim_version = input.version;
+    announce_use(ctx, state.own_claim);
+    report_step(ctx, state.kept ? "primary claimed" : "takeover claimed",
+                suspected_primary(state),
                 "token " + std::to_string(state.token));
+    if (state.kept)
+        return begin_keeping(ctx);
     begin_comparison(ctx);
 }
 
@@ -173,6 +214,7 @@
     if (input.row.token < ctx.state.highest_token)
         return;
     note_token(ctx, input.row.token);
+    announce_use(ctx, input.row);
     if (!revokes_primary(ctx) || input.row.replaced.value.empty() ||
         input.age >= ctx.settings.claim_ttl)
         return;
--- a/libs/takeover/src/comparing.cpp
+++ b/libs/takeover/src/comparing.cpp
@@ -4,6 +4,7 @@
 
 #include "fencing.hpp"
 #include "promoting.hpp"
+#include "settling.hpp"
 
 namespace godwitbarrow::takeover::detail
 {
@@ -183,6 +184,8 @@
     {
         report_step(ctx, "primary found", *other, "member is already primary");
         state.primary_stepped_down = false;
+        if (pauses_replication(state))
+            return keep_under_claim(ctx, *other);
         ctx.out.push_back(primary_known{*other, true});
         return pause_for(ctx, ctx.settings.promotion_settle_time);
     }
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -9,6 +9,7 @@
 #include "promoting.hpp"
 #include "restoring.hpp"
 #include "resuming.hpp"
+#include "settling.hpp"
 
 namespace godwitbarrow::takeover
 {
@@ -24,6 +25,7 @@
 void pause_for(context& ctx, std::chrono::milliseconds duration)
 {
     ctx.state.pause_duration = duration;
+    ctx.state.kept.reset();
     enter_phase(ctx, phase::pausing);
 }
 
@@ -117,9 +119,8 @@
         return give_up_confirmation(ctx);
     ctx.state.primary_stepped_down = false;
     ctx.out.push_back(primary_known{input.server, false});
-    end_pauses(ctx, input.server);
-    if (!ctx.state.paused.empty())
-        return pause_for(ctx, ctx.settings.promotion_settle_time);
+    if (!ctx.state.paused.empty() || may_end_pauses(ctx))
+        return keep_primary(ctx, input.server);
     enter_phase(ctx, phase::idle);
 }
 
@@ -169,6 +170,8 @@
             return;
         case phase::revoking:
             return promote_if_revoked(ctx);
+        case phase::keeping:
+            return continue_keeping(ctx);
         default:
             return;
     }
--- a/libs/takeover/src/promoting.cpp
+++ b/libs/takeover/src/promoting.cpp
@@ -3,6 +3,7 @@
 #include "fencing.hpp"
 #include "restoring.hpp"
 #include "resuming.hpp"
+#include "settling.hpp"
 
 namespace godwitbarrow::takeover::detail
 {
@@ -18,16 +19,6 @@
            ctx.settings.claim_ttl;
 }
 
-void send_promotion(context& ctx)
-{
-    if (!is_claim_current(ctx) || !may_order(ctx))
-        return pause_for(ctx, ctx.settings.retry_delay);
-    enter_phase(ctx, phase::promoting);
-    ++ctx.state.promotion_attempts;
-    ctx.state.unanswered_order_at = ctx.now;
-    ctx.out.push_back(order_promotion{ctx.state.target, ctx.state.token});
-}
-
 void request_step_down(context& ctx)
 {
     auto& state = ctx.state;
@@ -46,15 +37,30 @@
 }
 
 /// Starts the comparison anew. The replicas receive again meanwhile, so that
-/// they can catch up.
+/// they can catch up; while an order may still take effect, they do so only
+/// once the primary is kept.
 void compare_again(context& ctx)
 {
     report_step(ctx, "replicas behind primary", ctx.state.replaced,
                 "primary has " + to_string(*ctx.state.primary_position));
+    if (ctx.state.primary_stepped_down)
+        return pause_for(ctx, ctx.settings.retry_delay);
+    if (!are_orders_void(ctx))
+        return keep_under_claim(ctx, ctx.state.replaced);
     resume_replicas(ctx, ctx.state.replaced);
     pause_for(ctx, ctx.settings.retry_delay);
 }
 
+/// Gives up a claim whose unanswered order names another member.
+void spend_claim(context& ctx)
+{
+    report_step(ctx, "claim spent", ctx.state.ordered,
+                "token " + std::to_string(ctx.state.token) +
+                    " names it, to be promoted is " + ctx.state.target.value);
+    ctx.state.claim_spent = true;
+    pause_for(ctx, ctx.settings.retry_delay);
+}
+
 /// Promotes the target unless the old primary has got ahead of it.
 void send_promotion_if_complete(context& ctx)
 {
@@ -74,11 +80,24 @@
 
 }  // namespace
 
+void send_promotion(context& ctx)
+{
+    if (!is_claim_current(ctx) || !may_order(ctx))
+        return pause_for(ctx, ctx.settings.retry_delay);
+    enter_phase(ctx, phase::promoting);
+    ++ctx.state.promotion_attempts;
+    ctx.state.unanswered_order_at = ctx.now;
+    ctx.state.ordered = ctx.state.target;
+    ctx.out.push_back(order_promotion{ctx.state.target, ctx.state.token});
+}
+
 void replace_primary(context& ctx)
 {
     auto& state = ctx.state;
     if (lacks_commits(state))
         return compare_again(ctx);
+    if (!may_name(ctx, state.target))
+        return spend_claim(ctx);
     report_step(ctx, "promotion ordered", state.target,
                 "received " +
                     to_string(state.reports.at(state.target).received) +
@@ -138,26 +157,47 @@
     pause_for(ctx, ctx.settings.retry_delay);
 }
 
+namespace
+{
+
+void handle_accepted(context& ctx)
+{
+    auto& state = ctx.state;
+    state.unanswered_order_at.reset();
+    const bool keeps = state.kept.has_value();
+    report_step(ctx, keeps ? "primary kept" : "promotion accepted",
+                state.target);
+    state.primary_stepped_down = false;
+    settle(ctx);
+    ctx.out.push_back(primary_known{state.target, true});
+    // A promotion takes some time, and its target may have been the primary.
+    pause_for(ctx, keeps ? ctx.settings.retry_delay
+                         : ctx.settings.promotion_settle_time);
+}
+
+}  // namespace
+
 void handle_promotion_answer(context& ctx, const promotion_answered& input)
 {
     auto& state = ctx.state;
     if (state.current_phase != phase::promoting)
         return;
-    if (input.result != order_result::unknown)
-        state.unanswered_order_at.reset();
     if (input.result == order_result::accepted)
+        return handle_accepted(ctx);
+    // Of several orders only the last one was answered.
+    const bool refused = input.result == order_result::refused;
+    if (refused && state.promotion_attempts == 1)
     {
-        report_step(ctx, "promotion accepted", state.target);
-        state.primary_stepped_down = false;
-        ctx.out.push_back(primary_known{state.target, true});
-        return pause_for(ctx, ctx.settings.promotion_settle_time);
+        state.unanswered_order_at.reset();
+        state.ordered = {};
     }
     if (input.result == order_result::unknown &&
         state.promotion_attempts < ctx.settings.max_promotion_attempts)
         return send_promotion(ctx);
     // Refused: the member is not running, or another host holds a newer claim.
     // The claim row shows which.
-    report_step(ctx, "promotion refused", state.target);
+    report_step(ctx, refused ? "promotion refused" : "promotion not answered",
+                state.target);
     state.refused_targets.insert(state.target);
     pause_for(ctx, ctx.settings.retry_delay);
 }
--- a/libs/takeover/src/promoting.hpp
+++ b/libs/takeover/src/promoting.hpp
@@ -12,6 +12,10 @@
 /// lost. If it has commits that the target lacks, the comparison starts anew.
 void replace_primary(context& ctx);
 
+/// Orders the promotion of the target under the claim of this host, unless
+/// another host may have claimed since.
+void send_promotion(context& ctx);
+
 /// Handles the answer of the old primary to a step-down request.
 void handle_step_down(context& ctx, const member_answered& input);
 
--- a/libs/takeover/src/restoring.cpp
+++ b/libs/takeover/src/restoring.cpp
@@ -13,7 +13,8 @@
 bool relies_on_claim(phase it)
 {
     return it == phase::claiming || it == phase::fencing ||
-           it == phase::querying || it == phase::revoking;
+           it == phase::querying || it == phase::revoking ||
+           it == phase::keeping;
 }
 
 }  // namespace
--- a/libs/takeover/src/resuming.cpp
+++ b/libs/takeover/src/resuming.cpp
@@ -26,15 +26,18 @@
            static_cast<int>(steps);
 }
 
-/// Age from which on the holder of the claim must have failed. While the old
-/// primary leads, a late order of the holder may still replace it.
+/// Age from which on the holder of the claim must have failed. A promotion that
+/// it has settled takes effect first. Where the platform checks no tokens, a
+/// late order of the holder is awaited.
 std::chrono::milliseconds holder_limit(const context& ctx, const claim& row)
 {
     const auto& settings = ctx.settings;
-    const auto order = ctx.state.view.primary == row.replaced
-                           ? settings.late_order_limit
-                           : settings.promotion_settle_time;
-    return settings.claim_ttl + order + spread_of(settings, row);
+    auto limit = settings.claim_ttl + spread_of(settings, row);
+    if (!row.settled.value.empty())
+        limit += settings.promotion_settle_time;
+    if (!settings.checks_tokens && row.settled.value.empty())
+        limit += settings.late_order_limit;
+    return limit;
 }
 
 bool has_failed_holder(const context& ctx, const pausing_claim& claim)
@@ -82,39 +85,39 @@
     return claim && (is_own(ctx, *claim) || has_failed_holder(ctx, *claim));
 }
 
-void resume_replicas(context& ctx, const core::server_id& primary)
+void adopt_pauses(context& ctx)
 {
-    auto& state = ctx.state;
-    // A commit that a resumed replica receives from the old primary is lost if
-    // an order takes effect after that.
-    const bool late_order =
-        state.unanswered_order_at &&
-        ctx.now - *state.unanswered_order_at < ctx.settings.late_order_limit;
-    if (primary == state.replaced && late_order)
+    auto& claim = ctx.state.unfinished;
+    if (!claim || is_own(ctx, *claim) || !has_failed_holder(ctx, *claim))
         return;
-    drop_unregistered(state, primary);
-    for (const auto& id : state.paused)
+    report_step(ctx, "pauses adopted", claim->row.replaced,
+                "holder " + claim->row.holder.value + " token " +
+                    std::to_string(claim->row.token));
+    adopt(ctx.state, *claim);
+}
+
+void resume_replicas(context& ctx, const core::server_id& primary)
+{
+    drop_unregistered(ctx.state, primary);
+    for (const auto& id : ctx.state.paused)
         ctx.out.push_back(ask_member{id, std::nullopt, std::nullopt, true});
 }
 
-void end_pauses(context& ctx, const core::server_id& primary)
+void end_pauses(context& ctx, const core::server_id& primary,
+                std::uint64_t version)
 {
-    auto& claim = ctx.state.unfinished;
-    if (claim && !is_own(ctx, *claim) && has_failed_holder(ctx, *claim))
-    {
-        report_step(ctx, "pauses adopted", claim->row.replaced,
-                    "holder " + claim->row.holder.value + " token " +
-                        std::to_string(claim->row.token));
-        adopt(ctx.state, *claim);
-    }
+    auto& state = ctx.state;
     resume_replicas(ctx, primary);
-    if (!claim || !is_own(ctx, *claim) || !ctx.state.paused.empty())
-        return;
-    report_step(ctx, "pauses ended", claim->row.replaced,
-                "token " + std::to_string(claim->row.token));
-    claim->row.replicas_paused = false;
-    ctx.out.push_back(clear_pauses{claim->row, claim->version});
-    claim.reset();
+    if (!state.paused.empty())
+        return pause_for(ctx, ctx.settings.promotion_settle_time);
+    report_step(ctx, "pauses ended", primary,
+                "token " + std::to_string(state.token));
+    state.own_claim.replicas_paused = false;
+    state.own_claim.settled = primary;
+    ctx.out.push_back(clear_pauses{state.own_claim, version});
+    state.unfinished.reset();
+    state.kept.reset();
+    enter_phase(ctx, phase::idle);
 }
 
 void handle_resumed(context& ctx, const member_answered& input)
@@ -122,7 +125,8 @@
     const auto current = ctx.state.current_phase;
     const bool compares =
         current == phase::querying || current == phase::revoking ||
-        current == phase::promoting || current == phase::fencing;
+        current == phase::promoting || current == phase::fencing ||
+        current == phase::keeping;
     if (!compares && input.report && input.report->paused_at == 0)
         ctx.state.paused.erase(input.server);
 }
--- a/libs/takeover/src/row.cpp
+++ b/libs/takeover/src/row.cpp
@@ -55,7 +55,8 @@
                      {"replaced", row.replaced.value},
                      {"claimed_ms", row.claimed_at.count()},
                      {"replicas_paused", row.replicas_paused},
-                     {"era", row.era}});
+                     {"era", row.era},
+                     {"settled", row.settled.value}});
 }
 
 std::string encode(const vote& row)
@@ -82,6 +83,8 @@
                 row.replicas_paused = paused->as_bool();
             if (const auto* era = object.if_contains("era"))
                 row.era = era->to_number<std::uint64_t>();
+            if (object.contains("settled"))
+                row.settled = {detail::read_text(object, "settled")};
             return row;
         });
 }
--- a/libs/takeover/test/restored_store_test.cpp
+++ b/libs/takeover/test/restored_store_test.cpp
@@ -184,6 +184,10 @@
     observe(false);
     BOOST_REQUIRE(first_action<ask_member>());
     answer("a", 9, core::member_role::primary);
+    stored = older;
+    store_era = 2;
+    keep("a");
+    end_settled_pauses();
     BOOST_TEST((resumed() == std::set<std::string>{"b", "c"}));
 }
 
