Lift the restriction of a settled claim where none is needed

A group that is configured without synchronous replicas makes claims that are not settled. Hosts that had seen a settled claim before would have used the member that it names only.

--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -156,7 +156,8 @@
 
     void operator()(const takeover::use_primary& a) const
     {
-        handle(in, pooler::primary_settled{group, a.token, a.server});
+        handle(in, pooler::primary_settled{group, a.token, a.server,
+                                           a.unrestricted});
     }
 
     void operator()(const takeover::primary_known& a) const
--- a/libs/pooler/include/godwitbarrow/pooler/events.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/events.hpp
@@ -98,6 +98,8 @@
     core::group_id group;
     std::uint64_t token = 0;
     std::optional<core::server_id> server;
+    /// Any member, because the claim is of a group without such replicas.
+    bool unrestricted = false;
 };
 
 /// The claims of all hosts were read from the store, and those found have been
--- a/libs/pooler/include/godwitbarrow/pooler/state.hpp
+++ b/libs/pooler/include/godwitbarrow/pooler/state.hpp
@@ -317,6 +317,8 @@
     std::uint64_t token = 0;
     /// None while the claim is not settled.
     std::optional<core::server_id> server;
+    /// Whether any member may be used.
+    bool unrestricted = false;
     core::time_point since;
 };
 
--- a/libs/pooler/src/decide.cpp
+++ b/libs/pooler/src/decide.cpp
@@ -165,8 +165,9 @@
     // The configuration may come later.
     auto& g = ctx.pooler.groups[what.group];
     const auto before = g.settled;
-    settle_primary(g, what.token, what.server, ctx.now);
-    if (!before || before->server != g.settled->server)
+    settle_primary(g, {what.token, what.server, what.unrestricted, ctx.now});
+    const bool changed = !before || before->server != g.settled->server;
+    if (!what.unrestricted && changed)
     {
         decision_note n;
         n.message = what.server ? "primary settled" : "primary not settled";
--- a/libs/pooler/src/freshness.cpp
+++ b/libs/pooler/src/freshness.cpp
@@ -75,10 +75,22 @@
     it.revoked = revocation{server, now, now, version, false};
 }
 
+namespace
+{
+
+/// Whether the last claim does not allow the member as the primary.
+bool is_excluded(const group& it, const core::server_id& server)
+{
+    return it.settled && !it.settled->unrestricted &&
+           it.settled->server != server;
+}
+
+}  // namespace
+
 bool is_revoked(const group& it, const core::server_id& server,
                 const pooler_settings& settings, core::time_point now)
 {
-    if (it.settled && it.settled->server != server)
+    if (is_excluded(it, server))
         return true;
     if (!it.revoked || it.revoked->server != server)
         return false;
@@ -93,30 +105,33 @@
 {
     if (!is_revoked(it, server, settings, now))
         return std::nullopt;
-    const bool unsettled = it.settled && it.settled->server != server;
+    const bool excluded = is_excluded(it, server);
     const bool named = it.revoked && it.revoked->server == server;
     if (named && it.revoked->replaced)
         return core::time_point{};
-    if (unsettled && named)
+    if (excluded && named)
         return std::min(it.settled->since, it.revoked->since);
-    return unsettled ? it.settled->since : it.revoked->since;
+    return excluded ? it.settled->since : it.revoked->since;
 }
 
-void settle_primary(group& it, std::uint64_t token,
-                    const std::optional<core::server_id>& server,
-                    core::time_point now)
+void settle_primary(group& it, settlement to)
 {
-    if (it.settled && token < it.settled->token)
+    auto& known = it.settled;
+    const bool same = known && known->token == to.token &&
+                      known->server == to.server &&
+                      known->unrestricted == to.unrestricted;
+    if (same || (known && to.token < known->token))
         return;
-    if (it.settled && it.settled->token == token &&
-        it.settled->server == server)
+    // A newer claim does not restart the time in which commits count.
+    if (known && !known->server && !known->unrestricted)
+        to.since = known->since;
+    known = std::move(to);
+    const auto& server = known->server;
+    if (!server)
         return;
-    const bool was_open = !it.settled || it.settled->server;
-    const auto since = !server && !was_open ? it.settled->since : now;
-    it.settled = settlement{token, server, since};
-    if (server && it.revoked && it.revoked->server == *server)
+    if (it.revoked && it.revoked->server == *server)
         it.revoked.reset();
-    if (server && it.members.count(*server) > 0)
+    if (it.members.count(*server) > 0)
         set_primary(it, *server);
 }
 
--- a/libs/pooler/src/freshness.hpp
+++ b/libs/pooler/src/freshness.hpp
@@ -29,11 +29,8 @@
                                               const pooler_settings& settings,
                                               core::time_point now);
 
-/// Allows only this member as the primary, or none, as of the claim with this
-/// token. An older claim changes nothing.
-void settle_primary(group& it, std::uint64_t token,
-                    const std::optional<core::server_id>& server,
-                    core::time_point now);
+/// Sets which member is allowed as the primary. An older claim changes nothing.
+void settle_primary(group& it, settlement to);
 
 /// Updates the assumed primary from the roles that the members registered.
 void adopt_reported_primary(group& it, const pooler_settings& settings,
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -249,13 +249,15 @@
     std::uint64_t token = 0;
 };
 
-/// Which member of a group with synchronous replicas may be used as the primary
-/// as of a claim; none until the claim is settled, since orders under it and
-/// under earlier claims may still take effect.
+/// Which member may be used as the primary as of a claim. In a group with
+/// synchronous replicas none until the claim is settled, since orders under it
+/// and under earlier claims may still take effect.
 struct use_primary
 {
     std::uint64_t token = 0;
     std::optional<core::server_id> server;
+    /// Any member, because no replica acknowledges commits of the group.
+    bool unrestricted = false;
 };
 
 /// The member is the primary or is being promoted.
--- a/libs/takeover/src/settling.cpp
+++ b/libs/takeover/src/settling.cpp
@@ -141,8 +141,9 @@
 {
     if (!row.settled.value.empty())
         ctx.out.push_back(use_primary{row.token, row.settled});
-    else if (row.replicas_paused)
-        ctx.out.push_back(use_primary{row.token, std::nullopt});
+    else
+        ctx.out.push_back(
+            use_primary{row.token, std::nullopt, !row.replicas_paused});
 }
 
 }  // namespace godwitbarrow::takeover::detail
