Replace a primary that has stepped down while a claim is not settled

Cause: hosts use no primary while the last claim is not settled, so nothing but the question of the takeover shows that the old one has stepped down or failed, and its answer led to no takeover. And a host that missed the change of the row which settled the claim waited for the next one.

Fix: an old primary that answers as a replica, or not at all, is replaced. Hosts read the claims each second while a group awaits its settlement. Where the platform checks no tokens, only the end of the pauses awaits a late order, not the question before it.

Why the change of the row did not reach the three hosts is not traced.

--- a/apps/proxy/src/pooled/app.hpp
+++ b/apps/proxy/src/pooled/app.hpp
@@ -70,6 +70,9 @@
     /// For reads of all claims, one at a time.
     std::shared_ptr<service_link> claims;
     std::atomic<bool> reading_claims{false};
+    /// When they were last read because a group awaits its settlement. Used by
+    /// the timer that looks at the groups.
+    core::time_point settlement_read_at{};
 };
 
 /// What the answers of the store have shown.
--- a/apps/proxy/src/pooled/takeovers.cpp
+++ b/apps/proxy/src/pooled/takeovers.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::chrono::milliseconds view_interval{100};
 constexpr std::chrono::milliseconds question_limit{400};
+/// Interval of the reads of the claims while a group awaits its settlement.
+constexpr std::chrono::milliseconds settlement_interval{1000};
 
 using core::group_id;
 
@@ -271,6 +273,34 @@
     watch_claims(it, claim_handlers_of(it));
 }
 
+/// Whether this host uses no primary of a group because of the last claim that
+/// it has seen.
+bool awaits_settlement(app& it)
+{
+    std::lock_guard lock(it.decisions.mutex);
+    const auto& groups = it.decisions.state.groups;
+    return std::any_of(
+        groups.begin(), groups.end(),
+        [](const auto& g)
+        {
+            const auto& known = g.second.settled;
+            return known && !known->unrestricted &&
+                   (!known->server || g.second.primary != known->server);
+        });
+}
+
+/// Reads the claims while one has to be settled: a host that misses the change
+/// of the row would refuse its callers until the next claim.
+void look_for_settlement(app& it)
+{
+    const auto now = core::runtime_clock::now();
+    if (!awaits_settlement(it) ||
+        now - it.takeovers.settlement_read_at < settlement_interval)
+        return;
+    it.takeovers.settlement_read_at = now;
+    read_claims(it);
+}
+
 void look_at_groups(app& it)
 {
     auto views = view_groups(it);
@@ -279,6 +309,7 @@
         follow_claims(it);
     for (auto& [group, view] : views)
         advance(it, group, takeover::group_view_updated{std::move(view)});
+    look_for_settlement(it);
 }
 
 void look_again(app& it, const std::shared_ptr<core::timer>& t)
--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -359,6 +359,9 @@
     /// Replicas that this host has paused, or resumes for another host, and
     /// that have not confirmed that they receive again.
     std::set<core::server_id> paused;
+    /// Since when the primary has not confirmed its role to this host, which
+    /// its callers cannot show while they use none.
+    std::optional<core::time_point> unconfirmed_since;
     /// The last claim, if replicas may still be paused for it.
     std::optional<pausing_claim> unfinished;
     /// Terms of the pauses that the current queries ask for.
--- a/libs/takeover/src/decide.cpp
+++ b/libs/takeover/src/decide.cpp
@@ -74,6 +74,12 @@
            state.primary_stepped_down;
 }
 
+/// Whether replicas may be paused that this host has to resume.
+bool ends_pauses(const context& ctx)
+{
+    return !ctx.state.paused.empty() || may_end_pauses(ctx);
+}
+
 void query_primary(context& ctx)
 {
     enter_phase(ctx, phase::confirming);
@@ -95,20 +101,38 @@
 {
     if (takeover_wanted(ctx.state))
         return start_takeover(ctx);
-    const bool resumes = !ctx.state.paused.empty() || may_end_pauses(ctx);
-    if (resumes && ctx.state.view.primary)
+    if (ends_pauses(ctx) && ctx.state.view.primary)
         return query_primary(ctx);
     enter_phase(ctx, phase::idle);
 }
 
-/// The primary did not confirm its role.
+/// The primary did not confirm its role. Hosts use none while the last claim is
+/// not settled, so that only this question shows that it has failed.
 void give_up_confirmation(context& ctx)
 {
     if (takeover_wanted(ctx.state))
         return start_reading_rows(ctx);
+    if (!ctx.state.unconfirmed_since)
+        ctx.state.unconfirmed_since = ctx.state.phase_entered_at;
     pause_for(ctx, ctx.settings.promotion_settle_time);
 }
 
+/// Adds to the view what the primary has not confirmed.
+void note_unconfirmed(context& ctx,
+                      const std::optional<core::server_id>& before)
+{
+    auto& state = ctx.state;
+    if (state.view.primary != before)
+        state.unconfirmed_since.reset();
+    if (!state.unconfirmed_since)
+        return;
+    state.view.unreachable = true;
+    state.view.unreachable_for =
+        std::max(state.view.unreachable_for,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     ctx.now - *state.unconfirmed_since));
+}
+
 void handle_confirmation(context& ctx, const member_answered& input)
 {
     if (input.server != suspected_primary(ctx.state))
@@ -116,10 +140,17 @@
     const bool is_primary =
         input.report && input.report->role == core::member_role::primary;
     if (!is_primary)
+    {
+        // A replica that leads no more, and has no successor that this host
+        // knows of.
+        if (input.report && ends_pauses(ctx))
+            ctx.state.primary_stepped_down = true;
         return give_up_confirmation(ctx);
+    }
+    ctx.state.unconfirmed_since.reset();
     ctx.state.primary_stepped_down = false;
     ctx.out.push_back(primary_known{input.server, false});
-    if (!ctx.state.paused.empty() || may_end_pauses(ctx))
+    if (ends_pauses(ctx))
         return keep_primary(ctx, input.server);
     enter_phase(ctx, phase::idle);
 }
@@ -180,7 +211,9 @@
 void handle_view(context& ctx, const group_view_updated& input)
 {
     auto& state = ctx.state;
+    const auto before = state.view.primary;
     state.view = input.view;
+    note_unconfirmed(ctx, before);
     note_era(ctx, input.view.store_era);
     if (!state.view.unreachable)
         state.suspected_since.reset();
--- a/libs/takeover/src/resuming.cpp
+++ b/libs/takeover/src/resuming.cpp
@@ -27,16 +27,13 @@
 }
 
 /// Age from which on the holder of the claim must have failed. A promotion that
-/// it has settled takes effect first. Where the platform checks no tokens, a
-/// late order of the holder is awaited.
+/// it has settled takes effect first.
 std::chrono::milliseconds holder_limit(const context& ctx, const claim& row)
 {
     const auto& settings = ctx.settings;
     auto limit = settings.claim_ttl + spread_of(settings, row);
     if (!row.settled.value.empty())
         limit += settings.promotion_settle_time;
-    if (!settings.checks_tokens && row.settled.value.empty())
-        limit += settings.late_order_limit;
     return limit;
 }
 
--- a/libs/takeover/src/settling.cpp
+++ b/libs/takeover/src/settling.cpp
@@ -46,9 +46,18 @@
 /// awaited.
 bool awaits_late_order(const context& ctx)
 {
-    const auto& at = ctx.state.unanswered_order_at;
-    return !ctx.settings.checks_tokens && at &&
-           ctx.now - *at < ctx.settings.late_order_limit;
+    const auto& settings = ctx.settings;
+    if (settings.checks_tokens)
+        return false;
+    const auto& own = ctx.state.unanswered_order_at;
+    if (own && ctx.now - *own < settings.late_order_limit)
+        return true;
+    // Another holder may have ordered until its claim ended.
+    const auto& claim = ctx.state.unfinished;
+    return claim && claim->row.holder != settings.self &&
+           claim->row.settled.value.empty() &&
+           ctx.now - claim->made_at <
+               settings.claim_ttl + settings.late_order_limit;
 }
 
 }  // namespace
