Count only tokens of stored claims as seen

Cause: a host that tried to claim with a token above one that it had seen since it had read the row, and lost the conflict, took each later row of the stored claim for an older one. So it never learned that the claim was settled. Before claims were settled the same host did not revoke the old primary.

Fix: the token of a claim counts once the claim is stored.

--- a/libs/takeover/include/godwitbarrow/takeover/decide.hpp
+++ b/libs/takeover/include/godwitbarrow/takeover/decide.hpp
@@ -324,7 +324,7 @@
     group_view view;
     std::optional<core::time_point> suspected_since;
     std::uint64_t token = 0;
-    /// Highest token that this host has seen or used.
+    /// Highest token of a claim that was stored, as far as this host knows.
     std::uint64_t highest_token = 0;
     /// Newest era of the store that this host has seen, and when it saw that
     /// the store had been restored.
--- a/libs/takeover/src/claiming.cpp
+++ b/libs/takeover/src/claiming.cpp
@@ -172,7 +172,6 @@
     next.settled = {};
     state.token = next.token;
     state.claim_era = next.era;
-    note_token(ctx, next.token);
     if (state.replaced != next.replaced)
         state.unanswered_primary_queries = 0;
     state.replaced = next.replaced;
@@ -201,6 +200,7 @@
     if (input.result != write_result::done)
         return pause_for(ctx, ctx.settings.retry_delay);
     state.own_claim_version = input.version;
+    note_token(ctx, state.token);
     announce_use(ctx, state.own_claim);
     report_step(ctx, state.kept ? "primary claimed" : "takeover claimed",
                 suspected_primary(state),
--- a/libs/takeover/test/claim_test.cpp
+++ b/libs/takeover/test/claim_test.cpp
@@ -17,6 +17,26 @@
     BOOST_TEST(!first_action<order_promotion>().has_value());
 }
 
+// Guards against a host that takes each row of the stored claim for an older
+// one, because it has tried to claim with a higher token: it never learned that
+// the claim was settled (soak seed 45047).
+BOOST_FIXTURE_TEST_CASE(that_lost_a_conflict_hides_no_stored_one, host)
+{
+    view.synchronous_replicas = 1;
+    confirm_unreachable();
+    const claim other{next_claim_token, {"host-2"}, {"a"}, store_time, true};
+    handle(claim_observed{other, 10});
+    handle(rows_with_votes(3));
+    BOOST_REQUIRE(first_action<write_claim>());
+    BOOST_TEST(first_action<write_claim>()->row.token > other.token);
+    handle(row_written{write_result::conflict, 0});
+    auto settled = other;
+    settled.settled = {"b"};
+    handle(claim_observed{settled, 11});
+    BOOST_REQUIRE(first_action<use_primary>());
+    BOOST_TEST(first_action<use_primary>()->server->value == "b");
+}
+
 BOOST_FIXTURE_TEST_CASE(whose_answer_was_lost_is_found_in_the_row, host)
 {
     confirm_unreachable();
